Set down the forwarding path on the users' platform, from caller to endpoint

Cause: the product had no routes, no pass-through and no notion of an endpoint's incarnation, so nothing of it could run behind the platform's balancer. Change: routes, instances, discovery and forwarding as branches of the product, a gateway tree, and an adapter in platform/ that holds names, formats and calls. The store's classes move from platform/ to store/, so that the word names one thing. Lint and tests are not run on this commit.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,7 +10,7 @@
 import jsdoc from 'eslint-plugin-jsdoc';
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'bench/traces/**', '**/*.cjs'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'target/**', 'journal/**', 'bench/traces/**', '**/*.cjs'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -8,7 +8,7 @@
 import Mailbox from '../supervision/Mailbox.js';
 import Task from '../supervision/Task.js';
 import type Exchange from './Exchange.js';
-import type HttpFrontEnd from './HttpFrontEnd.js';
+import type ExchangeServer from './ExchangeServer.js';
 
 const REQUEST_ID = /^[\w.-]{8,64}$/;
 
@@ -17,11 +17,11 @@
 
   readonly #socket: Socket;
 
-  readonly #frontEnd: HttpFrontEnd;
+  readonly #frontEnd: ExchangeServer;
 
   readonly #exchanges = new Mailbox<Exchange>();
 
-  constructor(socket: Socket, frontEnd: HttpFrontEnd) {
+  constructor(socket: Socket, frontEnd: ExchangeServer) {
     super();
     this.#socket = socket;
     this.#frontEnd = frontEnd;
--- a/packages/rhubarbcroft/src/callers/HttpFrontEnd.ts
+++ b/packages/rhubarbcroft/src/callers/HttpFrontEnd.ts
@@ -6,6 +6,7 @@
 import type Failure from '@rhubarbcroft/protocol/results/Failure';
 import type Metrics from '../telemetry/Metrics.js';
 import type Exchange from './Exchange.js';
+import ExchangeServer from './ExchangeServer.js';
 import type HttpHandler from './HttpHandler.js';
 import sendFailure from './sendFailure.js';
 
@@ -15,7 +16,7 @@
   readonly handler: HttpHandler;
 }
 
-export default class HttpFrontEnd {
+export default class HttpFrontEnd extends ExchangeServer {
   readonly #router = Router();
 
   readonly #log: Logger;
@@ -23,6 +24,7 @@
   readonly #metrics: Metrics;
 
   constructor(routes: readonly Route[], log: Logger, metrics: Metrics) {
+    super();
     this.#log = log;
     this.#metrics = metrics;
     for (const { methods, path, handler } of routes) {
@@ -30,7 +32,7 @@
     }
   }
 
-  async serve(exchange: Exchange): Promise<void> {
+  override async serve(exchange: Exchange): Promise<void> {
     const { request, response, requestId } = exchange;
     response.setHeader('x-request-id', requestId);
     const found = this.#router.find(request.method as Router.HTTPMethod, request.url ?? '/');
--- a/packages/rhubarbcroft/src/callers/HttpListener.ts
+++ b/packages/rhubarbcroft/src/callers/HttpListener.ts
@@ -13,8 +13,8 @@
 import waitForAbort from '../supervision/waitForAbort.js';
 import createFailure from '@rhubarbcroft/protocol/results/createFailure';
 import formatErrorBody from '@rhubarbcroft/protocol/results/formatErrorBody';
+import type ExchangeServer from './ExchangeServer.js';
 import HttpConnection from './HttpConnection.js';
-import type HttpFrontEnd from './HttpFrontEnd.js';
 
 interface HttpListenerOptions {
   readonly name: string;
@@ -23,7 +23,7 @@
   readonly maxConnections: number;
   /** How long the listener goes on accepting after it was told to stop. */
   readonly lameDuckMs: number;
-  readonly frontEnd: HttpFrontEnd;
+  readonly frontEnd: ExchangeServer;
   readonly supervisor: Supervisor;
   readonly clock: Clock;
   /** The certificate for TLS; plain HTTP without it. */
--- a/packages/rhubarbcroft/src/claims/ClaimWriter.ts
+++ b/packages/rhubarbcroft/src/claims/ClaimWriter.ts
@@ -8,7 +8,7 @@
 import type Result from 'true-myth/result';
 import type Failure from '@rhubarbcroft/protocol/results/Failure';
 import createFailure from '@rhubarbcroft/protocol/results/createFailure';
-import type TableStore from '../platform/TableStore.js';
+import type TableStore from '../store/TableStore.js';
 import type Clock from '../supervision/Clock.js';
 import Mailbox from '../supervision/Mailbox.js';
 import Task from '../supervision/Task.js';
--- a/packages/rhubarbcroft/src/configuration/FleetRepository.ts
+++ b/packages/rhubarbcroft/src/configuration/FleetRepository.ts
@@ -10,7 +10,7 @@
 import parseFleetDocument from '@rhubarbcroft/protocol/fleet/parseFleetDocument';
 import type Failure from '@rhubarbcroft/protocol/results/Failure';
 import createFailure from '@rhubarbcroft/protocol/results/createFailure';
-import type TableStore from '../platform/TableStore.js';
+import type TableStore from '../store/TableStore.js';
 
 const TABLE = 'configuration';
 const HEAD = 'head';
--- /dev/null
+++ b/packages/rhubarbcroft/src/decisions/placement/EngineCandidate.ts
@@ -0,0 +1,19 @@
+/** A model engine as the placement of prompts sees it. */
+interface EngineCandidate {
+  readonly id: string;
+  readonly address: string;
+  readonly stage: 'prefill' | 'decode';
+  /** Where it is, seen from this node. */
+  readonly distance: 'domain' | 'region' | 'elsewhere';
+  readonly slots: number;
+  /** Requests that it is thought to run or have waiting. */
+  readonly running: number;
+  /** Prompt tokens that it is thought to prefill before a new prompt of the rank in question. */
+  readonly backlogTokens: number;
+  /** Tokens of the prompt in question, from its start, that are thought to be in its KV cache. */
+  readonly cachedTokens: number;
+  /** The recent share of failures, 0 to 1. */
+  readonly failureShare: number;
+}
+
+export default EngineCandidate;
--- /dev/null
+++ b/packages/rhubarbcroft/src/decisions/placement/PromptPlacement.ts
@@ -0,0 +1,11 @@
+/** Decides which engines serve a prompt. */
+import type EngineCandidate from './EngineCandidate.js';
+import type Prompt from './Prompt.js';
+import type PromptPlan from './PromptPlan.js';
+
+abstract class PromptPlacement {
+  /** Undefined when no candidate can generate. */
+  abstract choose(prompt: Prompt, candidates: readonly EngineCandidate[]): PromptPlan | undefined;
+}
+
+export default PromptPlacement;
--- /dev/null
+++ b/packages/rhubarbcroft/src/decisions/placement/PromptPlan.ts
@@ -0,0 +1,12 @@
+/** Where a prompt goes: to one engine whole, or to one that prefills it and one that continues. */
+interface PromptPlan {
+  /** The engine that generates. */
+  readonly engineId: string;
+  /** The engine that prefills the prompt first, if not the same one. */
+  readonly prefillId: string | undefined;
+  /** Tokens that are thought to need prefilling. */
+  readonly newTokens: number;
+  readonly expectedFirstTokenMs: number;
+}
+
+export default PromptPlan;
--- /dev/null
+++ b/packages/rhubarbcroft/src/decisions/retries/FleetRetryBudget.ts
@@ -0,0 +1,62 @@
+/**
+ * Bounds what a fleet sends beyond the first arrival of each request, without exchange between nodes: each
+ * node spends its own share of the fixed part and a fraction of the requests that it has itself received.
+ * Windows slide, and a request counts only while its whole window lasts, so the sum over all nodes stays
+ * within the fleet's bound.
+ */
+interface FleetRetryBudgetOptions {
+  /** Extra arrivals allowed for each request of the window. */
+  readonly ratio: number;
+  readonly windowMs: number;
+  /** Extra arrivals that the fleet may spend in any window whatever it receives. */
+  readonly reserve: number;
+  /** How many nodes share the reserve. */
+  readonly countNodes: () => number;
+}
+
+/** The share of the bound that is spent, since a send reaches its endpoint later than it is counted here. */
+const SAFETY_FRACTION = 0.85;
+
+interface ServiceCounts {
+  readonly requestsAtMs: number[];
+  readonly extrasAtMs: number[];
+}
+
+export default class FleetRetryBudget {
+  readonly #options: FleetRetryBudgetOptions;
+
+  readonly #services = new Map<string, ServiceCounts>();
+
+  constructor(options: FleetRetryBudgetOptions) {
+    this.#options = options;
+  }
+
+  recordRequest(service: string, nowMs: number): void {
+    this.#read(service, nowMs).requestsAtMs.push(nowMs);
+  }
+
+  /** Spends one extra arrival and returns whether the budget allowed it. */
+  spend(service: string, nowMs: number): boolean {
+    const { ratio, reserve, countNodes } = this.#options;
+    const { requestsAtMs, extrasAtMs } = this.#read(service, nowMs);
+    const share = reserve / Math.max(1, countNodes());
+    const allowed = (requestsAtMs.length * ratio + share) * SAFETY_FRACTION;
+    if (extrasAtMs.length + 1 > allowed) {
+      return false;
+    }
+    extrasAtMs.push(nowMs);
+    return true;
+  }
+
+  #read(service: string, nowMs: number): ServiceCounts {
+    const counts = this.#services.get(service) ?? { requestsAtMs: [], extrasAtMs: [] };
+    this.#services.set(service, counts);
+    const { requestsAtMs, extrasAtMs } = counts;
+    const oldestMs = nowMs - this.#options.windowMs;
+    [requestsAtMs, extrasAtMs].forEach((times) => {
+      const fresh = times.findIndex((atMs) => atMs > oldestMs);
+      times.splice(0, fresh === -1 ? times.length : fresh);
+    });
+    return counts;
+  }
+}
--- /dev/null
+++ b/packages/rhubarbcroft/src/forwarding/EndpointChooser.ts
@@ -0,0 +1,10 @@
+/** Turns what is known of the instances into candidates, and a decision over them into a placement. */
+import type ForwardRequest from './ForwardRequest.js';
+import type Placement from './Placement.js';
+
+abstract class EndpointChooser {
+  /** A placement without the instances that this request has failed at; undefined when there is none. */
+  abstract choose(request: ForwardRequest, failedIds: ReadonlySet<string>): Placement | undefined;
+}
+
+export default EndpointChooser;
--- /dev/null
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -0,0 +1,184 @@
+/**
+ * Serves one request: chooses where it goes, runs attempts one after the other, and decides after each
+ * whether another may follow. A request that may not be repeated goes on only after an attempt that
+ * certainly did not run it.
+ */
+import type RunState from '@rhubarbcroft/protocol/results/RunState';
+import type Failure from '@rhubarbcroft/protocol/results/Failure';
+import createFailure from '@rhubarbcroft/protocol/results/createFailure';
+import { err, ok } from 'true-myth/result';
+import type Result from 'true-myth/result';
+import Attempt from './Attempt.js';
+import type AttemptResult from './AttemptResult.js';
+import type EndpointChooser from './EndpointChooser.js';
+import type ForwardContext from './ForwardContext.js';
+import type ForwardRequest from './ForwardRequest.js';
+import type HeldAnswer from './HeldAnswer.js';
+import type Placement from './Placement.js';
+import type StreamRelay from './StreamRelay.js';
+
+interface ForwarderOptions {
+  readonly context: ForwardContext;
+  readonly engines: EndpointChooser;
+  readonly services: EndpointChooser;
+}
+
+/** How the attempts of one request stand. */
+interface Progress {
+  /** Attempts that may have run the request. */
+  readonly runs: number;
+  readonly sends: number;
+  readonly ran: RunState;
+  readonly failedIds: ReadonlySet<string>;
+  readonly last: AttemptResult | undefined;
+}
+
+interface Served {
+  /** A whole answer that is still to be sent; undefined when the caller has the stream. */
+  readonly answer: HeldAnswer | undefined;
+  readonly sends: number;
+  readonly instanceId: string;
+}
+
+/** Sends of one request at the most, counting those that endpoints declined. */
+const MAX_SENDS = 4;
+/** Clients give up on a stream after a pause of two seconds or more; another attempt must come before. */
+const MAX_EVENT_PAUSE_MS = 1_000;
+/** When to come back after a refusal, as long as nothing better is known. */
+const RETRY_AFTER_MS = 300;
+const FIRST_SERVER_ERROR = 500;
+
+export default class Forwarder {
+  readonly #options: ForwarderOptions;
+
+  constructor(options: ForwarderOptions) {
+    this.#options = options;
+  }
+
+  async forward(
+    request: ForwardRequest,
+    relay: StreamRelay,
+    signal: AbortSignal,
+  ): Promise<Result<Served, Failure>> {
+    const { context } = this.#options;
+    context.retries.recordRequest(request.service, context.clock.nowMs());
+    let progress: Progress = {
+      runs: 0,
+      sends: 0,
+      ran: 'not_run',
+      failedIds: new Set(),
+      last: undefined,
+    };
+    let placement = this.#choose(request, progress);
+    while (placement !== undefined && !signal.aborted) {
+      const lastEventId = relay.lastEventId ?? request.lastEventId;
+      const mayFollow = this.#mayRunAgain(request, progress.runs + 1);
+      const attempt = new Attempt(context, {
+        request,
+        placement,
+        relay,
+        lastEventId,
+        patienceMs: mayFollow ? this.#findPatienceMs(request, placement) : undefined,
+        maxPauseMs: mayFollow ? MAX_EVENT_PAUSE_MS : undefined,
+      });
+      const result = await attempt.run(signal);
+      progress = Forwarder.#advance(progress, placement, result);
+      this.#log(request, placement, result, progress);
+      if (!this.#mayFollow(request, progress, signal)) {
+        return Forwarder.#conclude(progress, placement, signal);
+      }
+      placement = this.#choose(request, progress) ?? undefined;
+      if (placement === undefined || !context.retries.spend(request.service, context.clock.nowMs())) {
+        placement = undefined;
+      }
+    }
+    return Forwarder.#conclude(progress, placement, signal);
+  }
+
+  #choose(request: ForwardRequest, { failedIds }: Progress): Placement | undefined {
+    const { engines, services } = this.#options;
+    const chooser = request.prompt === undefined ? services : engines;
+    return chooser.choose(request, failedIds);
+  }
+
+  #mayRunAgain(request: ForwardRequest, runs: number): boolean {
+    return request.isRepeatable && runs < request.route.maxAttempts;
+  }
+
+  /** How long to wait for the first sign of an answer before another attempt is worth more. */
+  #findPatienceMs({ route }: ForwardRequest, placement: Placement): number {
+    return Math.max(route.targetLatencyMs, placement.expectedMs * 2);
+  }
+
+  #mayFollow(request: ForwardRequest, progress: Progress, signal: AbortSignal): boolean {
+    const { last, runs, sends } = progress;
+    if (signal.aborted || sends >= MAX_SENDS || last === undefined || last.type === 'streamed') {
+      return false;
+    }
+    if (last.type === 'held' && last.answer.status < FIRST_SERVER_ERROR) {
+      return false;
+    }
+    const certainlyNotRun = last.type === 'failed' && last.ran === 'not_run';
+    return certainlyNotRun && runs === 0 ? true : this.#mayRunAgain(request, runs);
+  }
+
+  #log(
+    request: ForwardRequest,
+    placement: Placement,
+    result: AttemptResult,
+    { sends }: Progress,
+  ): void {
+    const { log, clock } = this.#options.context;
+    const fields = {
+      requestId: request.id,
+      route: request.route.name,
+      instance: placement.target.instance.id,
+      prefillInstance: placement.prefill?.instance.id,
+      newTokens: placement.newTokens,
+      expectedMs: Math.round(placement.expectedMs),
+      sends,
+      tookMs: Math.round(clock.nowMs() - request.arrivedAtMs),
+    };
+    if (result.type === 'failed') {
+      const { kind, detail } = result.failure;
+      log.info({ ...fields, kind, detail, ran: result.ran }, 'attempt failed');
+    } else {
+      const status = result.type === 'held' ? result.answer.status : undefined;
+      log.debug({ ...fields, status }, 'attempt answered');
+    }
+  }
+
+  static #advance(progress: Progress, placement: Placement, result: AttemptResult): Progress {
+    const mayHaveRun = result.type !== 'failed' || result.ran !== 'not_run';
+    return {
+      runs: progress.runs + (mayHaveRun ? 1 : 0),
+      sends: progress.sends + 1,
+      ran: mayHaveRun ? 'unknown' : progress.ran,
+      failedIds: new Set([...progress.failedIds, placement.target.instance.id]),
+      last: result,
+    };
+  }
+
+  static #conclude(
+    { last, sends, ran }: Progress,
+    placement: Placement | undefined,
+    signal: AbortSignal,
+  ): Result<Served, Failure> {
+    const instanceId = placement?.target.instance.id ?? '';
+    if (last?.type === 'streamed') {
+      return ok({ answer: undefined, sends, instanceId });
+    }
+    if (last?.type === 'held') {
+      return ok({ answer: last.answer, sends, instanceId });
+    }
+    if (last === undefined) {
+      return err(createFailure('NO_ENDPOINT', 'none is known', 'not_run', RETRY_AFTER_MS));
+    }
+    const { detail } = last.failure;
+    if (ran === 'not_run') {
+      return err(createFailure('NO_ENDPOINT', detail, 'not_run', RETRY_AFTER_MS));
+    }
+    const code = signal.aborted ? 'DEADLINE_EXCEEDED' : 'ENDPOINT_FAILED';
+    return err(createFailure(code, detail, 'unknown'));
+  }
+}
--- /dev/null
+++ b/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
@@ -0,0 +1,215 @@
+/**
+ * Answers callers' requests by their route: reads the request whole, finds the route in force, has the
+ * forwarder serve it within the caller's deadline, and sends what came of it.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { err, ok } from 'true-myth/result';
+import type Result from 'true-myth/result';
+import RESULT_CODES from '@rhubarbcroft/protocol/results/ResultCode';
+import type Failure from '@rhubarbcroft/protocol/results/Failure';
+import createFailure from '@rhubarbcroft/protocol/results/createFailure';
+import formatErrorBody from '@rhubarbcroft/protocol/results/formatErrorBody';
+import type Exchange from '../callers/Exchange.js';
+import ExchangeServer from '../callers/ExchangeServer.js';
+import readBody from '../callers/readBody.js';
+import type Route from '../routes/Route.js';
+import type ForwardContext from './ForwardContext.js';
+import type ForwardRequest from './ForwardRequest.js';
+import type Forwarder from './Forwarder.js';
+import type HeldAnswer from './HeldAnswer.js';
+import StreamRelay from './StreamRelay.js';
+import copyAnswerHeaders from './copyAnswerHeaders.js';
+
+interface ForwardingFrontEndOptions {
+  readonly context: ForwardContext;
+  readonly forwarder: Forwarder;
+  readonly random: RandomGenerator;
+  /** Aborts when the node begins to leave: answers then close their connections. */
+  readonly shutdown: AbortSignal;
+}
+
+/** How long the body may take; callers send theirs with the head. */
+const BODY_TIMEOUT_MS = 10_000;
+/** When to come back to a node that has just started. */
+const STARTING_RETRY_MS = 500;
+const MS_PER_S = 1_000;
+/** Statuses that promise that a request has not run; an endpoint's unmarked ones promise nothing. */
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+
+export default class ForwardingFrontEnd extends ExchangeServer {
+  readonly #options: ForwardingFrontEndOptions;
+
+  constructor(options: ForwardingFrontEndOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async serve(exchange: Exchange): Promise<void> {
+    const { clock, log } = this.#options.context;
+    const arrivedAtMs = clock.nowMs();
+    const { response } = exchange;
+    try {
+      const request = await this.#read(exchange, arrivedAtMs);
+      if (request.isErr) {
+        this.#refuse(exchange, request.error, arrivedAtMs);
+        return;
+      }
+      await this.#forward(exchange, request.value);
+    } catch (error) {
+      log.error({ requestId: exchange.requestId, err: error }, 'request failed');
+      const failure = createFailure('INTERNAL', `request ${exchange.requestId}`, 'unknown');
+      this.#refuse(exchange, failure, arrivedAtMs);
+    }
+    if (!response.writableEnded) {
+      response.destroy();
+    }
+  }
+
+  async #forward(exchange: Exchange, request: ForwardRequest): Promise<void> {
+    const { context, forwarder } = this.#options;
+    const { response, signal } = exchange;
+    const relay = new StreamRelay(response);
+    const end = new AbortController();
+    const leave = (): void => end.abort(new Error('the caller left'));
+    const timer = setTimeout(
+      () => end.abort(new Error('the time is over')),
+      request.expiresAtMs - context.clock.nowMs(),
+    );
+    signal.addEventListener('abort', leave, { once: true });
+    this.#announceClose(response);
+    const served = await forwarder.forward(request, relay, end.signal);
+    clearTimeout(timer);
+    signal.removeEventListener('abort', leave);
+    if (signal.aborted) {
+      context.log.debug({ requestId: request.id }, 'the caller left');
+      return;
+    }
+    if (served.isErr) {
+      this.#refuse(exchange, served.error, request.arrivedAtMs, relay);
+    } else if (served.value.answer === undefined) {
+      relay.end();
+    } else {
+      this.#send(exchange, request, served.value.answer);
+    }
+  }
+
+  async #read(
+    { request }: Exchange,
+    arrivedAtMs: number,
+  ): Promise<Result<ForwardRequest, Failure>> {
+    const { context } = this.#options;
+    const { routing } = context;
+    const maxBodyBytes = routing.current?.document.limits.maxBodyBytes ?? Infinity;
+    const body = await readBody(request, { maxBodyBytes, bodyTimeoutMs: BODY_TIMEOUT_MS });
+    if (body.isErr) {
+      return err(body.error);
+    }
+    const table = routing.current;
+    if (table === undefined) {
+      return err(
+        createFailure('CONFIGURATION_ABSENT', 'just started', 'not_run', STARTING_RETRY_MS),
+      );
+    }
+    const path = request.url ?? '/';
+    const route = table.findRoute(request.headers.host ?? '', path.split('?', 1)[0]);
+    if (route === undefined) {
+      return err(createFailure('NOT_FOUND', `version ${table.document.version} has no such route`));
+    }
+    return this.#createRequest(request, route, body.value, arrivedAtMs);
+  }
+
+  #createRequest(
+    request: IncomingMessage,
+    route: Route,
+    body: Buffer,
+    arrivedAtMs: number,
+  ): Result<ForwardRequest, Failure> {
+    const { protocol } = this.#options.context;
+    const marks = protocol.readRequest(request.headers);
+    if (marks.requestId === undefined) {
+      return err(createFailure('MALFORMED_BODY', 'the request has no usable id'));
+    }
+    const waitMs = Math.min(marks.deadlineMs ?? Infinity, route.timeoutMs);
+    const hasBody = body.length > 0 || request.headers['content-length'] !== undefined;
+    return ok({
+      id: marks.requestId,
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      rawHeaders: request.rawHeaders,
+      body: hasBody ? body : undefined,
+      route,
+      service: this.#chooseService(route),
+      prompt: route.hasPrompts ? marks.prompt : undefined,
+      lastEventId: marks.lastEventId,
+      arrivedAtMs,
+      expiresAtMs: arrivedAtMs + waitMs,
+      isRepeatable:
+        route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable),
+    });
+  }
+
+  #chooseService({ destinations }: Route): string {
+    const total = destinations.reduce((sum, { weight }) => sum + weight, 0);
+    let left = uniformFloat64(this.#options.random) * total;
+    const chosen = destinations.find(({ weight }) => {
+      left -= weight;
+      return left < 0;
+    });
+    return (chosen ?? destinations[0]).service;
+  }
+
+  #announceClose(response: ServerResponse): void {
+    const { shutdown } = this.#options;
+    if (shutdown.aborted && !response.headersSent) {
+      response.setHeader('connection', 'close');
+    }
+  }
+
+  #send(exchange: Exchange, request: ForwardRequest, answer: HeldAnswer): void {
+    const { response } = exchange;
+    if (!request.isRepeatable && NOT_RUN_STATUSES.has(answer.status)) {
+      const detail = `the endpoint answered ${answer.status} without saying that it did not run`;
+      const failure = createFailure('ENDPOINT_FAILED', detail, 'unknown');
+      this.#refuse(exchange, failure, request.arrivedAtMs);
+      return;
+    }
+    this.#announceClose(response);
+    response.writeHead(answer.status, [
+      ...copyAnswerHeaders(answer.rawHeaders),
+      'content-length',
+      String(answer.body.length),
+    ]);
+    response.end(answer.body);
+  }
+
+  #refuse(
+    { request, response, requestId }: Exchange,
+    failure: Failure,
+    arrivedAtMs: number,
+    relay?: StreamRelay,
+  ): void {
+    const { log, clock } = this.#options.context;
+    const { code, detail, ran, retryAfterMs } = failure;
+    const waitedMs = Math.round(clock.nowMs() - arrivedAtMs);
+    log.info({ requestId, code, detail, ran, retryAfterMs, waitedMs }, 'refused');
+    if (relay?.hasBegun === true || response.headersSent) {
+      response.destroy();
+      return;
+    }
+    this.#announceClose(response);
+    if (!request.complete) {
+      response.setHeader('connection', 'close');
+    }
+    if (retryAfterMs !== undefined) {
+      response.setHeader('retry-after', (retryAfterMs / MS_PER_S).toFixed(2));
+    }
+    const body = JSON.stringify(formatErrorBody(failure));
+    response.writeHead(RESULT_CODES[code].httpStatus, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+    });
+    response.end(body);
+  }
+}
--- /dev/null
+++ b/packages/rhubarbcroft/src/forwarding/Placement.ts
@@ -0,0 +1,13 @@
+/** The instances that one attempt of a request uses. */
+import type InstanceState from '../instances/InstanceState.js';
+
+interface Placement {
+  readonly target: InstanceState;
+  /** The engine that prefills the prompt before the target continues; undefined when the target does both. */
+  readonly prefill: InstanceState | undefined;
+  /** Tokens that are thought to need prefilling. */
+  readonly newTokens: number;
+  readonly expectedMs: number;
+}
+
+export default Placement;
--- /dev/null
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -0,0 +1,171 @@
+/**
+ * Has one engine prefill a prompt, so that another can continue from its KV cache. The call may be
+ * repeated and runs nothing for the caller; when it fails, the target prefills the prompt itself.
+ * A handle that is not used is freed, since the cache behind it cannot serve others meanwhile.
+ */
+import { randomUUID } from 'node:crypto';
+import { err } from 'true-myth/result';
+import type Result from 'true-myth/result';
+import type AttemptFailure from '../endpoints/AttemptFailure.js';
+import type EndpointConnection from '../instances/EndpointConnection.js';
+import type InstanceState from '../instances/InstanceState.js';
+import type ForwardContext from './ForwardContext.js';
+import type ForwardRequest from './ForwardRequest.js';
+import type KvSource from './KvSource.js';
+import type Placement from './Placement.js';
+import ProgressWatch from './ProgressWatch.js';
+import readWholeBody from './readWholeBody.js';
+
+/** A prefill may take this many times what is expected, and this much more, before the target does it itself. */
+const PATIENCE_FACTOR = 2;
+const PATIENCE_MS = 500;
+/** How long freeing a handle may take; the engine frees it by itself after a few seconds. */
+const RELEASE_TIMEOUT_MS = 1_000;
+const STATUS_OK = 200;
+
+export default class PrefillCall {
+  readonly #context: ForwardContext;
+
+  readonly #request: ForwardRequest;
+
+  readonly #placement: Placement;
+
+  #source: KvSource | undefined;
+
+  constructor(context: ForwardContext, request: ForwardRequest, placement: Placement) {
+    this.#context = context;
+    this.#request = request;
+    this.#placement = placement;
+  }
+
+  /** The KV cache to continue from; undefined when the target is to prefill the prompt itself. */
+  async run(signal: AbortSignal): Promise<KvSource | undefined> {
+    const { prefill, newTokens, expectedMs } = this.#placement;
+    const { prompt, route, id } = this.#request;
+    if (prefill === undefined || prompt === undefined) {
+      return undefined;
+    }
+    const { clock, log, speeds } = this.#context;
+    const attemptId = randomUUID();
+    const startedAtMs = clock.nowMs();
+    const wasIdle = prefill.inFlight === 0;
+    prefill.begin();
+    prefill.beginPrompt(attemptId, { newTokens, rank: route.rank, sentAtMs: startedAtMs });
+    prefill.cache.touch(prompt.parts);
+    const watch = new ProgressWatch(signal);
+    watch.expect(expectedMs * PATIENCE_FACTOR + PATIENCE_MS);
+    const handle = await this.#call(prefill, watch.signal);
+    watch.close();
+    prefill.end(attemptId);
+    const nowMs = clock.nowMs();
+    if (handle.isErr) {
+      PrefillCall.#judge(prefill, handle.error, nowMs, signal);
+      const { kind, detail } = handle.error;
+      log.info({ requestId: id, instance: prefill.instance.id, kind, detail }, 'prefill failed');
+      return undefined;
+    }
+    prefill.health.recordSuccess(nowMs);
+    if (wasIdle) {
+      speeds.recordPrefill(newTokens, nowMs - startedAtMs);
+    }
+    this.#source = { address: prefill.instance.address, handle: handle.value };
+    return this.#source;
+  }
+
+  /** Frees the handle if there is one; it was not used, or may not have been. */
+  release(): void {
+    if (this.#source !== undefined) {
+      void this.#release(this.#source);
+      this.#source = undefined;
+    }
+  }
+
+  async #call(prefill: InstanceState, signal: AbortSignal): Promise<Result<string, AttemptFailure>> {
+    const connection = prefill.pool.take(true);
+    const handle = await this.#exchange(connection, prefill, signal);
+    if (handle.isErr) {
+      connection.close();
+    } else {
+      prefill.pool.give(connection);
+    }
+    return handle;
+  }
+
+  async #exchange(
+    connection: EndpointConnection,
+    prefill: InstanceState,
+    signal: AbortSignal,
+  ): Promise<Result<string, AttemptFailure>> {
+    const { protocol, clock } = this.#context;
+    const { rawHeaders, method, path, body, id, expiresAtMs, route } = this.#request;
+    const headers = protocol.writeRequest(rawHeaders, {
+      requestId: id,
+      instanceId: prefill.instance.id,
+      deadlineMs: Math.max(1, Math.floor(expiresAtMs - clock.nowMs())),
+      lastEventId: undefined,
+      priority: route.rank,
+      prefillOnly: true,
+      kvSource: undefined,
+    });
+    const sent = await connection.send({ method, path, headers, body }, signal);
+    if (sent.isErr) {
+      return err(sent.error);
+    }
+    const { status, rawHeaders: answered, body: answerBody } = sent.value;
+    const marks = protocol.readAnswer(status, answered);
+    if (marks.load !== undefined) {
+      prefill.recordLoad(marks.load, clock.nowMs());
+    }
+    if (marks.isDeclined) {
+      return err({ kind: 'rejected', detail: `declined with status ${status}` });
+    }
+    const isForeign = marks.requestId !== undefined && marks.requestId !== id;
+    if (status !== STATUS_OK || isForeign) {
+      return err({ kind: 'broken', detail: `status ${status} to request ${marks.requestId}` });
+    }
+    try {
+      return protocol.readPrefillHandle(await readWholeBody(answerBody));
+    } catch (error) {
+      return err({ kind: 'broken', detail: (error as Error).message });
+    }
+  }
+
+  async #release(source: KvSource): Promise<void> {
+    const { protocol, log } = this.#context;
+    const { prefill } = this.#placement;
+    if (prefill === undefined) {
+      return;
+    }
+    const connection = prefill.pool.take(true);
+    const sent = await connection.send(
+      {
+        method: 'DELETE',
+        path: protocol.writeReleasePath(source.handle),
+        headers: [],
+        body: undefined,
+      },
+      AbortSignal.timeout(RELEASE_TIMEOUT_MS),
+    );
+    if (sent.isErr) {
+      const { detail } = sent.error;
+      log.info({ requestId: this.#request.id, ...source, detail }, 'handle not freed; it lapses');
+    }
+    connection.close();
+  }
+
+  static #judge(
+    prefill: InstanceState,
+    failure: AttemptFailure,
+    nowMs: number,
+    signal: AbortSignal,
+  ): void {
+    if (signal.aborted) {
+      return;
+    }
+    if (failure.kind === 'unsent') {
+      prefill.health.recordUnreachable(nowMs);
+    } else if (failure.kind !== 'rejected') {
+      prefill.health.recordBreak(nowMs);
+    }
+  }
+}
--- /dev/null
+++ b/packages/rhubarbcroft/src/forwarding/ServiceChooser.ts
@@ -0,0 +1,36 @@
+/** Chooses the endpoint of a plain call, or of a generation whose prompt is not described. */
+import chooseServiceEndpoint from '../decisions/placement/chooseServiceEndpoint.js';
+import EndpointChooser from './EndpointChooser.js';
+import type ForwardContext from './ForwardContext.js';
+import type ForwardRequest from './ForwardRequest.js';
+import type Placement from './Placement.js';
+import findDistance from './findDistance.js';
+import listUsable from './listUsable.js';
+
+export default class ServiceChooser extends EndpointChooser {
+  readonly #context: ForwardContext;
+
+  constructor(context: ForwardContext) {
+    super();
+    this.#context = context;
+  }
+
+  override choose(request: ForwardRequest, failedIds: ReadonlySet<string>): Placement | undefined {
+    const { registry, clock, place } = this.#context;
+    const nowMs = clock.nowMs();
+    const states = listUsable(registry, request.service, failedIds, nowMs).filter(
+      ({ instance }) => instance.stage !== 'prefill',
+    );
+    const chosen = chooseServiceEndpoint(
+      states.map((state) => ({
+        id: state.instance.id,
+        distance: findDistance(place, state.instance.domain),
+        slots: state.instance.slots,
+        running: state.estimateRunning(nowMs),
+        failureShare: state.health.readFailureShare(nowMs),
+      })),
+    );
+    const target = states.find(({ instance }) => instance.id === chosen?.id);
+    return target && { target, prefill: undefined, newTokens: 0, expectedMs: 0 };
+  }
+}
--- /dev/null
+++ b/packages/rhubarbcroft/src/gateway/GatewaySources.ts
@@ -0,0 +1,13 @@
+/** What a forwarding node reads from the platform, and how it speaks with callers and endpoints. */
+import type ChangeFeed from '../discovery/ChangeFeed.js';
+import type EndpointProtocol from '../forwarding/EndpointProtocol.js';
+import type Instance from '../instances/Instance.js';
+import type RoutingDocument from '../routes/RoutingDocument.js';
+
+interface GatewaySources {
+  readonly routing: ChangeFeed<RoutingDocument>;
+  readonly instances: ChangeFeed<Instance>;
+  readonly protocol: EndpointProtocol;
+}
+
+export default GatewaySources;
--- a/packages/rhubarbcroft/src/membership/VmListPoller.ts
+++ b/packages/rhubarbcroft/src/membership/VmListPoller.ts
@@ -1,5 +1,5 @@
 /** Reads the platform's VM list at a fixed period. */
-import type VmList from '../platform/VmList.js';
+import type VmList from '../store/VmList.js';
 import type Clock from '../supervision/Clock.js';
 import PeriodicTask from '../supervision/PeriodicTask.js';
 import type VmRegister from './VmRegister.js';
--- a/packages/rhubarbcroft/src/membership/VmRegister.ts
+++ b/packages/rhubarbcroft/src/membership/VmRegister.ts
@@ -3,7 +3,7 @@
  * it has been absent from every reading for longer than the list can lag.
  */
 import type Clock from '../supervision/Clock.js';
-import type Vm from '../platform/Vm.js';
+import type Vm from '../store/Vm.js';
 
 export default class VmRegister {
   readonly #clock: Clock;
--- a/packages/rhubarbcroft/src/node/NodeParts.ts
+++ b/packages/rhubarbcroft/src/node/NodeParts.ts
@@ -9,10 +9,10 @@
 import type DrainRegister from '../membership/DrainRegister.js';
 import type NodeDirectory from '../membership/NodeDirectory.js';
 import type VmRegister from '../membership/VmRegister.js';
-import type ObjectStore from '../platform/ObjectStore.js';
-import type PlatformClient from '../platform/PlatformClient.js';
-import type TableStore from '../platform/TableStore.js';
-import type VmList from '../platform/VmList.js';
+import type ObjectStore from '../store/ObjectStore.js';
+import type PlatformClient from '../store/PlatformClient.js';
+import type TableStore from '../store/TableStore.js';
+import type VmList from '../store/VmList.js';
 import type Clock from '../supervision/Clock.js';
 import type Metrics from '../telemetry/Metrics.js';
 
--- a/packages/rhubarbcroft/src/node/createParts.ts
+++ b/packages/rhubarbcroft/src/node/createParts.ts
@@ -10,10 +10,10 @@
 import DrainRegister from '../membership/DrainRegister.js';
 import NodeDirectory from '../membership/NodeDirectory.js';
 import VmRegister from '../membership/VmRegister.js';
-import HttpObjectStore from '../platform/HttpObjectStore.js';
-import HttpTableStore from '../platform/HttpTableStore.js';
-import HttpVmList from '../platform/HttpVmList.js';
-import PlatformClient from '../platform/PlatformClient.js';
+import HttpObjectStore from '../store/HttpObjectStore.js';
+import HttpTableStore from '../store/HttpTableStore.js';
+import HttpVmList from '../store/HttpVmList.js';
+import PlatformClient from '../store/PlatformClient.js';
 import SystemClock from '../supervision/SystemClock.js';
 import SilentMetrics from '../telemetry/SilentMetrics.js';
 import StatsdMetrics from '../telemetry/StatsdMetrics.js';
@@ -38,7 +38,12 @@
   return {
     settings,
     clock,
-    log: createLogger(settings),
+    log: createLogger({
+      name: 'rhubarbcroftd',
+      level: telemetry.logLevel,
+      node: node.id,
+      domain: node.domain,
+    }),
     metrics:
       telemetry.statsdAddress === ''
         ? new SilentMetrics()
--- a/packages/rhubarbcroft/src/orders/IntentLog.ts
+++ b/packages/rhubarbcroft/src/orders/IntentLog.ts
@@ -9,7 +9,7 @@
 import type Result from 'true-myth/result';
 import type Failure from '@rhubarbcroft/protocol/results/Failure';
 import createFailure from '@rhubarbcroft/protocol/results/createFailure';
-import type TableStore from '../platform/TableStore.js';
+import type TableStore from '../store/TableStore.js';
 import type Authority from './Authority.js';
 import type Intent from './Intent.js';
 
--- a/packages/rhubarbcroft/src/orders/Lease.ts
+++ b/packages/rhubarbcroft/src/orders/Lease.ts
@@ -7,8 +7,8 @@
  * own that nothing else changes, so that orders can be made conditional on it.
  */
 import { randomUUID } from 'node:crypto';
-import type Row from '../platform/Row.js';
-import type TableStore from '../platform/TableStore.js';
+import type Row from '../store/Row.js';
+import type TableStore from '../store/TableStore.js';
 import type Clock from '../supervision/Clock.js';
 import type Authority from './Authority.js';
 import type LeaseRow from './LeaseRow.js';
--- a/packages/rhubarbcroft/src/platform/PlatformClient.ts
+++ b/packages/rhubarbcroft/src/store/PlatformClient.ts
@@ -11,6 +11,13 @@
   readonly body?: string | Uint8Array;
 }
 
+interface CallBounds {
+  /** How long to wait for this answer, where it is to be another time than usual. */
+  readonly timeoutMs?: number;
+  /** Ends the call early. */
+  readonly signal?: AbortSignal;
+}
+
 interface PlatformResponse {
   readonly status: number;
   readonly body: Uint8Array;
@@ -18,6 +25,7 @@
 
 const MAX_CONNECTIONS = 8;
 const FIRST_SERVER_ERROR = 500;
+const STATUS_TOO_MANY = 429;
 const STATUS_UNAVAILABLE = 503;
 const NOT_SENT_ERRORS = new Set([
   'ECONNREFUSED',
@@ -36,22 +44,25 @@
     this.#timeoutMs = timeoutMs;
   }
 
-  async send(request: PlatformRequest): Promise<Result<PlatformResponse, Failure>> {
+  async send(request: PlatformRequest, bounds: CallBounds = {}): Promise<Result<PlatformResponse, Failure>> {
+    const timeout = AbortSignal.timeout(bounds.timeoutMs ?? this.#timeoutMs);
+    const signal = bounds.signal === undefined ? timeout : AbortSignal.any([timeout, bounds.signal]);
     try {
       const response = await this.#pool.request({
         ...request,
         headers: { 'content-type': 'application/json' },
-        signal: AbortSignal.timeout(this.#timeoutMs),
+        signal,
       });
       const body = new Uint8Array(await response.body.arrayBuffer());
-      if (response.statusCode >= FIRST_SERVER_ERROR) {
+      const { statusCode } = response;
+      if (statusCode >= FIRST_SERVER_ERROR || statusCode === STATUS_TOO_MANY) {
         const code =
-          response.statusCode === STATUS_UNAVAILABLE
+          statusCode === STATUS_UNAVAILABLE || statusCode === STATUS_TOO_MANY
             ? 'PLATFORM_UNAVAILABLE'
             : 'PLATFORM_ANSWER_LOST';
-        return err(createFailure(code, `${request.path}: status ${response.statusCode}`));
+        return err(createFailure(code, `${request.path}: status ${statusCode}`));
       }
-      return ok({ status: response.statusCode, body });
+      return ok({ status: statusCode, body });
     } catch (error) {
       const notSent = NOT_SENT_ERRORS.has((error as NodeJS.ErrnoException).code ?? '');
       const code = notSent ? 'PLATFORM_UNAVAILABLE' : 'PLATFORM_ANSWER_LOST';
--- a/packages/rhubarbcroft/src/telemetry/createLogger.ts
+++ b/packages/rhubarbcroft/src/telemetry/createLogger.ts
@@ -1,14 +1,14 @@
-/** Creates the process's logger: JSON lines on standard output, with the node and domain on each. */
+/** Creates a process's logger: JSON lines on standard output, with the node and domain on each. */
 import bunyan from 'bunyan';
 import type Logger from 'bunyan';
-import type Settings from '@rhubarbcroft/protocol/settings/Settings';
 
-export default function createLogger(settings: Settings): Logger {
-  return bunyan.createLogger({
-    name: 'rhubarbcroftd',
-    level: settings.telemetry.logLevel,
-    node: settings.node.id,
-    domain: settings.node.domain,
-    serializers: bunyan.stdSerializers,
-  });
+interface LoggerOptions {
+  readonly name: string;
+  readonly level: Logger.LogLevel;
+  readonly node: string;
+  readonly domain: string;
+}
+
+export default function createLogger(options: LoggerOptions): Logger {
+  return bunyan.createLogger({ ...options, serializers: bunyan.stdSerializers });
 }
--- a/test/support/MemoryTable.ts
+++ b/test/support/MemoryTable.ts
@@ -3,10 +3,10 @@
 import type Result from 'true-myth/result';
 import type Failure from '@rhubarbcroft/protocol/results/Failure';
 import createFailure from '@rhubarbcroft/protocol/results/createFailure';
-import type CommitOutcome from 'rhubarbcroft/platform/CommitOutcome';
-import type Row from 'rhubarbcroft/platform/Row';
-import TableStore from 'rhubarbcroft/platform/TableStore';
-import type Transaction from 'rhubarbcroft/platform/Transaction';
+import type CommitOutcome from 'rhubarbcroft/store/CommitOutcome';
+import type Row from 'rhubarbcroft/store/Row';
+import TableStore from 'rhubarbcroft/store/TableStore';
+import type Transaction from 'rhubarbcroft/store/Transaction';
 
 export default class MemoryTable extends TableStore {
   readonly #rows = new Map<string, Row>();
