Send prompts to one home over the whole fleet, and price what is read again

Change: the home of a shared part, by weighted rendezvous hashing over all engines of the service, is taken to hold it; bytes over paid links, re-read tokens and moves of KV cache enter the cost by the users' prices.

--- a/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
@@ -1,14 +1,17 @@
 /**
  * Places a prompt where its first token is expected soonest, counting what a placement costs others: the
- * wait behind the prompts ahead, the prefill of what is not cached there, the transfer of KV cache when
- * one engine prefills and another generates, and distance. Answers the mixed load in which prompts of
- * very different size share parts that one engine's cache cannot all hold.
+ * wait behind the prompts ahead, the prefill of what is not cached there, bytes over paid links, and the
+ * transfer of KV cache when one engine prefills and another generates. Answers the mixed load in which
+ * prompts of very different size share parts that one engine's cache cannot all hold.
  */
+import type Distance from './Distance.js';
 import type EngineCandidate from './EngineCandidate.js';
 import PLACEMENT_COSTS from './PLACEMENT_COSTS.js';
+import type Place from './Place.js';
 import type Prompt from './Prompt.js';
 import PromptPlacement from './PromptPlacement.js';
 import type PromptPlan from './PromptPlan.js';
+import findDistance from './findDistance.js';
 
 interface EngineSpeeds {
   /** Prompt tokens that a prefill engine reads in a millisecond. */
@@ -17,103 +20,113 @@
   readonly transferMsPerToken: number;
 }
 
-/** How much longer a transfer takes by distance (the engines' protocol). */
-const TRANSFER_FACTORS = { domain: 1, region: 2, elsewhere: 10 } as const;
+/** How much longer a transfer takes, and how much more it is priced, by distance (the engines' protocol). */
+const TRANSFER_TIMES = { domain: 1, region: 2, elsewhere: 10 } as const;
+const TRANSFER_PRICES = { domain: 1, region: 2, elsewhere: 3 } as const;
+/** How many prefill engines are looked at together with each engine that could go on from them. */
+const MAX_PREFILLERS = 3;
+const BYTES_PER_KB = 1_000;
 
 interface Priced {
   readonly candidate: EngineCandidate;
   readonly costMs: number;
-  readonly newTokens: number;
 }
 
 export default class CostPromptPlacement extends PromptPlacement {
-  readonly #readSpeeds: () => EngineSpeeds;
+  readonly #place: Place;
 
-  constructor(readSpeeds: () => EngineSpeeds) {
+  readonly #speeds: EngineSpeeds;
+
+  constructor(place: Place, speeds: EngineSpeeds) {
     super();
-    this.#readSpeeds = readSpeeds;
+    this.#place = place;
+    this.#speeds = speeds;
   }
 
   override choose(prompt: Prompt, candidates: readonly EngineCandidate[]): PromptPlan | undefined {
-    const speeds = this.#readSpeeds();
     const generating = candidates.filter(({ stage }) => stage === 'decode');
-    const whole = CostPromptPlacement.#findCheapest(
-      generating.map((candidate) => this.#priceWhole(prompt, candidate, speeds)),
-    );
-    if (whole === undefined) {
-      return undefined;
-    }
-    const prefill = CostPromptPlacement.#findCheapest(
-      candidates
-        .filter(({ stage }) => stage === 'prefill')
-        .map((candidate) => this.#pricePrefill(prompt, candidate, speeds)),
-    );
-    const receiver = CostPromptPlacement.#findCheapest(
-      generating.map((candidate) => this.#priceHandOver(prompt, candidate, speeds)),
-    );
-    if (
-      prefill !== undefined &&
-      receiver !== undefined &&
-      prefill.costMs + receiver.costMs < whole.costMs
-    ) {
-      return {
-        engineId: receiver.candidate.id,
-        prefillId: prefill.candidate.id,
-        newTokens: prefill.newTokens,
-        expectedFirstTokenMs: prefill.costMs + receiver.costMs,
-      };
-    }
+    const plans = [
+      ...generating.map((candidate) => this.#planWhole(prompt, candidate)),
+      ...this.#planHandOvers(prompt, candidates, generating),
+    ];
+    let best: PromptPlan | undefined;
+    plans.forEach((plan) => {
+      best =
+        best === undefined || plan.expectedFirstTokenMs < best.expectedFirstTokenMs ? plan : best;
+    });
+    return best;
+  }
+
+  #planWhole(prompt: Prompt, candidate: EngineCandidate): PromptPlan {
+    const prefillMs = this.#pricePrefill(prompt, candidate, PLACEMENT_COSTS.decodePrefillFactor);
     return {
-      engineId: whole.candidate.id,
+      engineId: candidate.id,
       prefillId: undefined,
-      newTokens: whole.newTokens,
-      expectedFirstTokenMs: whole.costMs,
+      newTokens: CostPromptPlacement.#countNew(prompt, candidate),
+      expectedFirstTokenMs: prefillMs + this.#priceEndpoint(prompt, candidate),
     };
   }
 
-  #priceWhole(prompt: Prompt, candidate: EngineCandidate, speeds: EngineSpeeds): Priced {
-    const newTokens = Math.max(0, prompt.promptTokens - candidate.cachedTokens);
-    const prefillMs =
-      ((candidate.backlogTokens + newTokens) * PLACEMENT_COSTS.decodePrefillFactor) /
-      speeds.prefillTokensPerMs;
-    const costMs = prefillMs + CostPromptPlacement.#priceEndpoint(candidate);
-    return { candidate, newTokens, costMs };
+  /** For each of the best prefill engines, the engine that goes on from it at the least cost. */
+  #planHandOvers(
+    prompt: Prompt,
+    candidates: readonly EngineCandidate[],
+    generating: readonly EngineCandidate[],
+  ): readonly PromptPlan[] {
+    const prefillers = candidates
+      .filter(({ stage }) => stage === 'prefill')
+      .map((candidate) => ({
+        candidate,
+        costMs: this.#pricePrefill(prompt, candidate, 1) + this.#priceEndpoint(prompt, candidate),
+      }))
+      .sort((a, b) => a.costMs - b.costMs)
+      .slice(0, MAX_PREFILLERS);
+    return prefillers.flatMap((prefiller) =>
+      generating.map((receiver) => this.#planHandOver(prompt, prefiller, receiver)),
+    );
   }
 
-  #pricePrefill(prompt: Prompt, candidate: EngineCandidate, speeds: EngineSpeeds): Priced {
-    const newTokens = Math.max(0, prompt.promptTokens - candidate.cachedTokens);
-    const prefillMs = (candidate.backlogTokens + newTokens) / speeds.prefillTokensPerMs;
-    const costMs = prefillMs + CostPromptPlacement.#priceEndpoint(candidate);
-    return { candidate, newTokens, costMs };
+  #planHandOver(prompt: Prompt, prefiller: Priced, receiver: EngineCandidate): PromptPlan {
+    const { transferSetupMs, transferMsPerToken, handOverMs } = PLACEMENT_COSTS;
+    const distance = this.#measure(prefiller.candidate.domain, receiver.domain);
+    const msPerToken =
+      this.#speeds.transferMsPerToken * TRANSFER_TIMES[distance] +
+      transferMsPerToken * TRANSFER_PRICES[distance];
+    const transferMs = transferSetupMs + prompt.promptTokens * msPerToken;
+    return {
+      engineId: receiver.id,
+      prefillId: prefiller.candidate.id,
+      newTokens: CostPromptPlacement.#countNew(prompt, prefiller.candidate),
+      expectedFirstTokenMs:
+        prefiller.costMs + handOverMs + transferMs + this.#priceEndpoint(prompt, receiver),
+    };
   }
 
-  #priceHandOver(prompt: Prompt, candidate: EngineCandidate, speeds: EngineSpeeds): Priced {
-    const transferMs =
-      PLACEMENT_COSTS.transferSetupMs +
-      prompt.promptTokens * speeds.transferMsPerToken * TRANSFER_FACTORS[candidate.distance];
-    const costMs =
-      PLACEMENT_COSTS.handOverMs + transferMs + CostPromptPlacement.#priceEndpoint(candidate);
-    return { candidate, newTokens: 0, costMs };
+  #pricePrefill(prompt: Prompt, candidate: EngineCandidate, slowdown: number): number {
+    const newTokens = CostPromptPlacement.#countNew(prompt, candidate);
+    const sharedTokens = prompt.promptTokens - (prompt.parts.at(-1)?.tokens ?? 0);
+    const rereadTokens = Math.max(0, sharedTokens - candidate.cachedTokens);
+    const prefillMs =
+      ((candidate.backlogTokens + newTokens) * slowdown) / this.#speeds.prefillTokensPerMs;
+    return prefillMs + rereadTokens * PLACEMENT_COSTS.rereadMsPerToken;
   }
 
-  static #priceEndpoint(candidate: EngineCandidate): number {
-    const { elsewhereMs, regionMs, paidLinkMs, runningMs, failureMs } = PLACEMENT_COSTS;
-    const distanceMs = {
-      domain: 0,
-      region: regionMs + paidLinkMs,
-      elsewhere: elsewhereMs + paidLinkMs,
-    }[candidate.distance];
-    const full = candidate.running >= candidate.slots ? failureMs : 0;
-    return (
-      distanceMs + candidate.running * runningMs + candidate.failureShare * failureMs + full
-    );
+  #priceEndpoint(prompt: Prompt, candidate: EngineCandidate): number {
+    const { elsewhereMs, regionMs, paidLinkMsPerKb, runningMs, failureMs } = PLACEMENT_COSTS;
+    const distance = this.#measure(this.#place.domain, candidate.domain);
+    const waitMs = { domain: 0, region: regionMs, elsewhere: elsewhereMs }[distance];
+    const paidMs =
+      distance === 'domain' ? 0 : (prompt.bodyBytes / BYTES_PER_KB) * paidLinkMsPerKb;
+    const fullMs = candidate.running >= candidate.slots ? failureMs : 0;
+    const loadMs = candidate.running * runningMs + candidate.failureShare * failureMs;
+    return waitMs + paidMs + fullMs + loadMs;
   }
 
-  static #findCheapest(priced: readonly Priced[]): Priced | undefined {
-    let best: Priced | undefined;
-    priced.forEach((next) => {
-      best = best === undefined || next.costMs < best.costMs ? next : best;
-    });
-    return best;
+  #measure(from: string, to: string): Distance {
+    return findDistance(this.#place.regionsByDomain, from, to);
+  }
+
+  static #countNew(prompt: Prompt, candidate: EngineCandidate): number {
+    return Math.max(0, prompt.promptTokens - candidate.cachedTokens);
   }
 }
--- a/packages/rhubarbcroft/src/decisions/placement/EngineCandidate.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/EngineCandidate.ts
@@ -1,10 +1,8 @@
 /** A model engine as the placement of prompts sees it. */
 interface EngineCandidate {
   readonly id: string;
-  readonly address: string;
+  readonly domain: string;
   readonly stage: 'prefill' | 'decode';
-  /** Where it is, seen from this node. */
-  readonly distance: 'domain' | 'region' | 'elsewhere';
   readonly slots: number;
   /** Requests that it is thought to run or have waiting. */
   readonly running: number;
--- a/packages/rhubarbcroft/src/decisions/placement/PLACEMENT_COSTS.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/PLACEMENT_COSTS.ts
@@ -5,16 +5,19 @@
   /** One way between failure domains of a region on the users' sheet, there and back. */
   regionMs: 2,
   /**
-   * What a request's bytes over a paid link are worth in waiting: a prompt's body costs a few hundredths of a
-   * request, as a tenth of a second of prefill does.
+   * What a kilobyte over a paid link is worth in waiting, and a shared token that is read again although
+   * another engine holds it: the users' prices of both, put against the time of a prefill engine.
    */
-  paidLinkMs: 100,
+  paidLinkMsPerKb: 1.6,
+  rereadMsPerToken: 0.016,
   /** A decode engine prefills at half the speed of a prefill engine (the engines' protocol). */
   decodePrefillFactor: 2,
   /** Set-up of one transfer of KV cache, on the users' sheet. */
   transferSetupMs: 3,
-  /** What handing over is worth avoiding: a second send of the body and a transfer that is priced. */
-  handOverMs: 20,
+  /** What moving the KV cache of a token inside a failure domain is worth in waiting, by the users' price. */
+  transferMsPerToken: 0.001,
+  /** A hand-over's second call and its answer. */
+  handOverMs: 5,
   /** What each running request adds to the time of a step times the steps of a short answer. */
   runningMs: 2,
   /** What a certain failure would cost: about a target latency. */
--- a/packages/rhubarbcroft/src/decisions/placement/Prompt.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/Prompt.ts
@@ -6,6 +6,7 @@
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
   readonly parts: readonly PromptPart[];
+  readonly bodyBytes: number;
 }
 
 export default Prompt;
--- /dev/null
+++ b/packages/rhubarbcroft/src/decisions/placement/findDistance.ts
@@ -0,0 +1,14 @@
+/** How far one failure domain is from another, by the regions that they belong to. */
+import type Distance from './Distance.js';
+
+export default function findDistance(
+  regionsByDomain: Readonly<Record<string, string>>,
+  from: string,
+  to: string,
+): Distance {
+  if (from === to) {
+    return 'domain';
+  }
+  const region = regionsByDomain[to];
+  return region !== undefined && region === regionsByDomain[from] ? 'region' : 'elsewhere';
+}
--- a/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
+++ b/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
@@ -13,11 +13,10 @@
 import type ForwardContext from './ForwardContext.js';
 import type ForwardRequest from './ForwardRequest.js';
 import type Placement from './Placement.js';
-import findDistance from './findDistance.js';
 import listUsable from './listUsable.js';
 
 /** How far it is believed that a home holds a part which this node has not sent there. */
-const HOME_TRUST = 0.7;
+const HOME_TRUST = 0.8;
 /** The share of homes that an engine gets, by how fast it prefills. */
 const HOME_WEIGHTS = { prefill: 1, decode: 0.5 } as const;
 
@@ -57,13 +56,11 @@
   }
 
   #findHome(prompt: Prompt, states: readonly InstanceState[]): string | undefined {
-    const { place } = this.#context;
     const shared = listShared(prompt).at(-1);
     if (shared === undefined) {
       return undefined;
     }
-    const near = states.filter(({ instance }) => instance.domain === place.domain);
-    const homes = (near.length > 0 ? near : states).map(({ instance }) => ({
+    const homes = states.map(({ instance }) => ({
       id: instance.id,
       weight: HOME_WEIGHTS[instance.stage ?? 'decode'],
     }));
@@ -76,7 +73,7 @@
     rank: number,
     isHome: boolean,
   ): EngineCandidate {
-    const { clock, place, speeds } = this.#context;
+    const { clock, speeds } = this.#context;
     const nowMs = clock.nowMs();
     const { instance } = state;
     const stage = instance.stage ?? 'decode';
@@ -84,9 +81,8 @@
     const assumedTokens = isHome ? sharedTokens * HOME_TRUST : 0;
     return {
       id: instance.id,
-      address: instance.address,
+      domain: instance.domain,
       stage,
-      distance: findDistance(place, instance.domain),
       slots: instance.slots,
       running: state.estimateRunning(nowMs),
       backlogTokens: state.estimateBacklogTokens(rank, speeds.readTokensPerMs(stage), nowMs),
--- a/packages/rhubarbcroft/src/forwarding/ForwardContext.ts
+++ b/packages/rhubarbcroft/src/forwarding/ForwardContext.ts
@@ -1,5 +1,6 @@
 /** What the forwarding of requests shares: who this node is, what it knows, and its budgets. */
 import type Logger from 'bunyan';
+import type Place from '../decisions/placement/Place.js';
 import type FleetRetryBudget from '../decisions/retries/FleetRetryBudget.js';
 import type InstanceRegistry from '../instances/InstanceRegistry.js';
 import type RoutingHolder from '../routes/RoutingHolder.js';
@@ -8,10 +9,7 @@
 import type EngineSpeeds from './EngineSpeeds.js';
 
 interface ForwardContext {
-  readonly place: {
-    readonly domain: string;
-    readonly regionsByDomain: Readonly<Record<string, string>>;
-  };
+  readonly place: Place;
   readonly routing: RoutingHolder;
   readonly registry: InstanceRegistry;
   readonly protocol: EndpointProtocol;
--- a/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
+++ b/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
@@ -141,7 +141,10 @@
       body: hasBody ? body : undefined,
       route,
       service: this.#chooseService(route),
-      prompt: route.hasPrompts ? marks.prompt : undefined,
+      prompt:
+        route.hasPrompts && marks.prompt !== undefined
+          ? { ...marks.prompt, bodyBytes: body.length }
+          : undefined,
       lastEventId: marks.lastEventId,
       arrivedAtMs,
       expiresAtMs: arrivedAtMs + waitMs,
--- a/packages/rhubarbcroft/src/forwarding/RequestMarks.ts
+++ b/packages/rhubarbcroft/src/forwarding/RequestMarks.ts
@@ -7,7 +7,7 @@
   readonly deadlineMs: number | undefined;
   /** The last event that the caller has of a stream that it resumes. */
   readonly lastEventId: string | undefined;
-  readonly prompt: Prompt | undefined;
+  readonly prompt: Omit<Prompt, 'bodyBytes'> | undefined;
 }
 
 export default RequestMarks;
--- a/packages/rhubarbcroft/src/forwarding/ServiceChooser.ts
+++ b/packages/rhubarbcroft/src/forwarding/ServiceChooser.ts
@@ -1,10 +1,10 @@
 /** Chooses the endpoint of a plain call, or of a generation whose prompt is not described. */
 import chooseServiceEndpoint from '../decisions/placement/chooseServiceEndpoint.js';
+import findDistance from '../decisions/placement/findDistance.js';
 import EndpointChooser from './EndpointChooser.js';
 import type ForwardContext from './ForwardContext.js';
 import type ForwardRequest from './ForwardRequest.js';
 import type Placement from './Placement.js';
-import findDistance from './findDistance.js';
 import listUsable from './listUsable.js';
 
 export default class ServiceChooser extends EndpointChooser {
@@ -24,7 +24,7 @@
     const chosen = chooseServiceEndpoint(
       states.map((state) => ({
         id: state.instance.id,
-        distance: findDistance(place, state.instance.domain),
+        distance: findDistance(place.regionsByDomain, place.domain, state.instance.domain),
         slots: state.instance.slots,
         running: state.estimateRunning(nowMs),
         failureShare: state.health.readFailureShare(nowMs),
--- a/packages/rhubarbcroft/src/gateway/createGateway.ts
+++ b/packages/rhubarbcroft/src/gateway/createGateway.ts
@@ -76,7 +76,7 @@
   const { routing, registry, speeds } = context;
   const forwarder = new Forwarder({
     context,
-    engines: new EngineChooser(context, new CostPromptPlacement(() => speeds)),
+    engines: new EngineChooser(context, new CostPromptPlacement(settings, speeds)),
     services: new ServiceChooser(context),
   });
   const callers = new Supervisor('callers', clock, log);
