Let nodes ask one another what the store does not tell, and keep retries to the budget

Also, a node that the store turns away, or that starts in an outage, knew nothing. Change: later attempts go to one engine; streams get three target latencies before another attempt; nodes exchange routing documents and instances over TCP frames when the store is silent; one frame codec serves both kinds of peers.

--- a/bench/control/measureParts.ts
+++ b/bench/control/measureParts.ts
@@ -4,7 +4,7 @@
 import PoisonTracker from 'rhubarbcroft/decisions/poison/PoisonTracker';
 import AccountLimits from 'rhubarbcroft/decisions/limits/AccountLimits';
 import PrefixIndex from 'rhubarbcroft/decisions/routing/PrefixIndex';
-import FrameCodec from 'rhubarbcroft/peers/FrameCodec';
+import createPeerCodec from 'rhubarbcroft/peers/createPeerCodec';
 import SystemClock from 'rhubarbcroft/supervision/SystemClock';
 import parseFleetDocument from '@rhubarbcroft/protocol/fleet/parseFleetDocument';
 import type PartCost from './PartCost.js';
@@ -55,8 +55,8 @@
   size: number,
   message: Parameters<FrameCodec['encode']>[0],
 ): PartCost {
-  const sender = new FrameCodec(1_048_576);
-  const receiver = new FrameCodec(1_048_576);
+  const sender = createPeerCodec(1_048_576);
+  const receiver = createPeerCodec(1_048_576);
   const usPerStep = timeStep(() => {
     receiver.decode(sender.encode(message));
   });
--- a/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
@@ -115,8 +115,7 @@
     const { elsewhereMs, regionMs, paidLinkMsPerKb, runningMs, failureMs } = PLACEMENT_COSTS;
     const distance = this.#measure(this.#place.domain, candidate.domain);
     const waitMs = { domain: 0, region: regionMs, elsewhere: elsewhereMs }[distance];
-    const paidMs =
-      distance === 'domain' ? 0 : (prompt.bodyBytes / BYTES_PER_KB) * paidLinkMsPerKb;
+    const paidMs = distance === 'domain' ? 0 : (prompt.bodyBytes / BYTES_PER_KB) * paidLinkMsPerKb;
     const fullMs = candidate.running >= candidate.slots ? failureMs : 0;
     const loadMs = candidate.running * runningMs + candidate.failureShare * failureMs;
     return waitMs + paidMs + fullMs + loadMs;
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -5,7 +5,6 @@
  */
 import { randomUUID } from 'node:crypto';
 import type EndpointConnection from '../instances/EndpointConnection.js';
-import type InstanceState from '../instances/InstanceState.js';
 import type AttemptFailure from '../endpoints/AttemptFailure.js';
 import type AnswerMarks from './AnswerMarks.js';
 import type AttemptResult from './AttemptResult.js';
@@ -183,7 +182,7 @@
 
   #judge(result: AttemptResult): void {
     const { target } = this.#options.placement;
-    const { health } = target as InstanceState;
+    const { health } = target;
     const nowMs = this.#context.clock.nowMs();
     if (result.type === 'streamed') {
       health.recordSuccess(nowMs);
--- a/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
+++ b/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
@@ -13,6 +13,7 @@
 import type ForwardContext from './ForwardContext.js';
 import type ForwardRequest from './ForwardRequest.js';
 import type Placement from './Placement.js';
+import type Tried from './Tried.js';
 import listUsable from './listUsable.js';
 
 /** How far it is believed that a home holds a part which this node has not sent there. */
@@ -35,7 +36,7 @@
     this.#placement = placement;
   }
 
-  override choose(request: ForwardRequest, failedIds: ReadonlySet<string>): Placement | undefined {
+  override choose(request: ForwardRequest, { failedIds, sends }: Tried): Placement | undefined {
     const { registry, clock } = this.#context;
     const { prompt, route, service } = request;
     if (prompt === undefined) {
@@ -43,7 +44,10 @@
     }
     const states = listUsable(registry, service, failedIds, clock.nowMs());
     const homeId = this.#findHome(prompt, states);
-    const candidates = states.map((state) =>
+    // Only the first prefill of a request is free of the retry budget: later attempts go to one engine.
+    const allowed =
+      sends === 0 ? states : states.filter(({ instance }) => instance.stage !== 'prefill');
+    const candidates = allowed.map((state) =>
       this.#describe(state, prompt, route.rank, state.instance.id === homeId),
     );
     const plan = this.#placement.choose(prompt, candidates);
@@ -67,12 +71,7 @@
     return chooseHome(shared.id, homes);
   }
 
-  #describe(
-    state: InstanceState,
-    prompt: Prompt,
-    rank: number,
-    isHome: boolean,
-  ): EngineCandidate {
+  #describe(state: InstanceState, prompt: Prompt, rank: number, isHome: boolean): EngineCandidate {
     const { clock, speeds } = this.#context;
     const nowMs = clock.nowMs();
     const { instance } = state;
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -16,6 +16,7 @@
 import type HeldAnswer from './HeldAnswer.js';
 import type Placement from './Placement.js';
 import type StreamRelay from './StreamRelay.js';
+import type Tried from './Tried.js';
 
 interface ForwarderOptions {
   readonly context: ForwardContext;
@@ -24,12 +25,10 @@
 }
 
 /** How the attempts of one request stand. */
-interface Progress {
+interface Progress extends Tried {
   /** Attempts that may have run the request. */
   readonly runs: number;
-  readonly sends: number;
   readonly ran: RunState;
-  readonly failedIds: ReadonlySet<string>;
   readonly last: AttemptResult | undefined;
 }
 
@@ -46,6 +45,8 @@
 const MAX_EVENT_PAUSE_MS = 1_000;
 /** When to come back after a refusal, as long as nothing better is known. */
 const RETRY_AFTER_MS = 300;
+/** A stream that is late for its target may still be served: a run that is cut has been prefilled in vain. */
+const STREAM_PATIENCE_TARGETS = 3;
 const FIRST_SERVER_ERROR = 500;
 
 export default class Forwarder {
@@ -88,17 +89,20 @@
         return Forwarder.#conclude(progress, placement, signal);
       }
       placement = this.#choose(request, progress) ?? undefined;
-      if (placement === undefined || !context.retries.spend(request.service, context.clock.nowMs())) {
+      if (
+        placement === undefined ||
+        !context.retries.spend(request.service, context.clock.nowMs())
+      ) {
         placement = undefined;
       }
     }
     return Forwarder.#conclude(progress, placement, signal);
   }
 
-  #choose(request: ForwardRequest, { failedIds }: Progress): Placement | undefined {
+  #choose(request: ForwardRequest, tried: Tried): Placement | undefined {
     const { engines, services } = this.#options;
     const chooser = request.prompt === undefined ? services : engines;
-    return chooser.choose(request, failedIds);
+    return chooser.choose(request, tried);
   }
 
   #mayRunAgain(request: ForwardRequest, runs: number): boolean {
@@ -107,7 +111,8 @@
 
   /** How long to wait for the first sign of an answer before another attempt is worth more. */
   #findPatienceMs({ route }: ForwardRequest, placement: Placement): number {
-    return Math.max(route.targetLatencyMs, placement.expectedMs * 2);
+    const targets = route.kind === 'stream' ? STREAM_PATIENCE_TARGETS : 1;
+    return Math.max(route.targetLatencyMs * targets, placement.expectedMs * 2);
   }
 
   #mayFollow(request: ForwardRequest, progress: Progress, signal: AbortSignal): boolean {
--- a/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
+++ b/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
@@ -148,8 +148,7 @@
       lastEventId: marks.lastEventId,
       arrivedAtMs,
       expiresAtMs: arrivedAtMs + waitMs,
-      isRepeatable:
-        route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable),
+      isRepeatable: route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable),
     });
   }
 
--- a/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -80,7 +80,10 @@
     }
   }
 
-  async #call(prefill: InstanceState, signal: AbortSignal): Promise<Result<string, AttemptFailure>> {
+  async #call(
+    prefill: InstanceState,
+    signal: AbortSignal,
+  ): Promise<Result<string, AttemptFailure>> {
     const connection = prefill.pool.take(true);
     const handle = await this.#exchange(connection, prefill, signal);
     if (handle.isErr) {
--- a/packages/rhubarbcroft/src/forwarding/ServiceChooser.ts
+++ b/packages/rhubarbcroft/src/forwarding/ServiceChooser.ts
@@ -5,6 +5,7 @@
 import type ForwardContext from './ForwardContext.js';
 import type ForwardRequest from './ForwardRequest.js';
 import type Placement from './Placement.js';
+import type Tried from './Tried.js';
 import listUsable from './listUsable.js';
 
 export default class ServiceChooser extends EndpointChooser {
@@ -15,7 +16,7 @@
     this.#context = context;
   }
 
-  override choose(request: ForwardRequest, failedIds: ReadonlySet<string>): Placement | undefined {
+  override choose(request: ForwardRequest, { failedIds }: Tried): Placement | undefined {
     const { registry, clock, place } = this.#context;
     const nowMs = clock.nowMs();
     const states = listUsable(registry, request.service, failedIds, nowMs).filter(
--- a/packages/rhubarbcroft/src/gateway/GatewaySettings.ts
+++ b/packages/rhubarbcroft/src/gateway/GatewaySettings.ts
@@ -5,6 +5,10 @@
   readonly regionsByDomain: Readonly<Record<string, string>>;
   readonly callerAddress: string;
   readonly readinessAddress: string;
+  /** Where peers ask what this node knows. */
+  readonly peerAddress: string;
+  /** Peers to ask before the store has told of others; they may be stale or down. */
+  readonly seedPeers: readonly string[];
   readonly storeUrl: string;
   /** From the signal to stop until the process is killed. */
   readonly shutdownGraceMs: number;
--- a/packages/rhubarbcroft/src/gateway/GatewaySources.ts
+++ b/packages/rhubarbcroft/src/gateway/GatewaySources.ts
@@ -1,5 +1,6 @@
 /** What a forwarding node reads from the platform, and how it speaks with callers and endpoints. */
 import type ChangeFeed from '../discovery/ChangeFeed.js';
+import type NodeList from '../exchange/NodeList.js';
 import type EndpointProtocol from '../forwarding/EndpointProtocol.js';
 import type Instance from '../instances/Instance.js';
 import type RoutingDocument from '../routes/RoutingDocument.js';
@@ -7,6 +8,7 @@
 interface GatewaySources {
   readonly routing: ChangeFeed<RoutingDocument>;
   readonly instances: ChangeFeed<Instance>;
+  readonly nodes: NodeList;
   readonly protocol: EndpointProtocol;
 }
 
--- a/packages/rhubarbcroft/src/gateway/createGateway.ts
+++ b/packages/rhubarbcroft/src/gateway/createGateway.ts
@@ -11,6 +11,10 @@
 import CostPromptPlacement from '../decisions/placement/CostPromptPlacement.js';
 import FleetRetryBudget from '../decisions/retries/FleetRetryBudget.js';
 import FeedReader from '../discovery/FeedReader.js';
+import KnowledgeBase from '../exchange/KnowledgeBase.js';
+import KnowledgeListener from '../exchange/KnowledgeListener.js';
+import KnowledgeSeeker from '../exchange/KnowledgeSeeker.js';
+import NodeAnnouncer from '../exchange/NodeAnnouncer.js';
 import EngineChooser from '../forwarding/EngineChooser.js';
 import EngineSpeeds from '../forwarding/EngineSpeeds.js';
 import type ForwardContext from '../forwarding/ForwardContext.js';
@@ -18,7 +22,9 @@
 import ForwardingFrontEnd from '../forwarding/ForwardingFrontEnd.js';
 import ServiceChooser from '../forwarding/ServiceChooser.js';
 import InstanceRegistry from '../instances/InstanceRegistry.js';
+import type Instance from '../instances/Instance.js';
 import RoutingConsumer from '../routes/RoutingConsumer.js';
+import type RoutingDocument from '../routes/RoutingDocument.js';
 import RoutingHolder from '../routes/RoutingHolder.js';
 import Supervisor from '../supervision/Supervisor.js';
 import SystemClock from '../supervision/SystemClock.js';
@@ -40,11 +46,18 @@
 /** The largest head that the parser takes; the operator's own limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
 const MAX_PROBE_CONNECTIONS = 64;
+/** Before a node has heard of the others it takes itself for one of this many, as each user has today. */
+const MIN_NODES = 8;
 
-function createContext(
-  { settings, sources, log }: GatewayOptions,
-  clock: SystemClock,
-): ForwardContext {
+interface Known {
+  readonly routing: RoutingHolder;
+  readonly registry: InstanceRegistry;
+  readonly readers: readonly [FeedReader<RoutingDocument>, FeedReader<Instance>];
+  readonly base: KnowledgeBase;
+}
+
+/** What the node knows, and the tasks that keep it so. */
+function createKnown({ settings, sources, log }: GatewayOptions, clock: SystemClock): Known {
   const routing = new RoutingHolder();
   const registry = new InstanceRegistry({
     routing,
@@ -52,6 +65,25 @@
     log,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
   });
+  const readers = [
+    new FeedReader(sources.routing, new RoutingConsumer(routing, log), clock, log),
+    new FeedReader(sources.instances, registry, clock, log),
+  ] as const;
+  const base = new KnowledgeBase({
+    routing,
+    registry,
+    address: settings.peerAddress,
+    isCurrent: () => readers.every((reader) => reader.isHealthy),
+  });
+  base.addNodes(settings.seedPeers);
+  return { routing, registry, readers, base };
+}
+
+function createContext(
+  { settings, sources, log }: GatewayOptions,
+  { routing, registry, base }: Known,
+  clock: SystemClock,
+): ForwardContext {
   return {
     place: settings,
     routing,
@@ -61,7 +93,7 @@
       ratio: settings.retryRatio,
       windowMs: settings.retryWindowMs,
       reserve: settings.retryReserve,
-      countNodes: () => 10,
+      countNodes: () => Math.max(MIN_NODES, base.nodes.length + 1),
     }),
     speeds: new EngineSpeeds(routing),
     clock,
@@ -72,22 +104,25 @@
 export default function createGateway(options: GatewayOptions): Supervisor {
   const { settings, sources, log, shutdown } = options;
   const clock = new SystemClock();
-  const context = createContext(options, clock);
-  const { routing, registry, speeds } = context;
+  const known = createKnown(options, clock);
+  const { readers, base } = known;
+  const context = createContext(options, known, clock);
   const forwarder = new Forwarder({
     context,
-    engines: new EngineChooser(context, new CostPromptPlacement(settings, speeds)),
+    engines: new EngineChooser(context, new CostPromptPlacement(settings, context.speeds)),
     services: new ServiceChooser(context),
   });
   const callers = new Supervisor('callers', clock, log);
+  const peers = new Supervisor('peers', clock, log);
   const probes = new Supervisor('readiness', clock, log);
-  const isReady = (): boolean =>
-    routing.current !== undefined && registry.version > 0 && !shutdown.aborted;
+  const isReady = (): boolean => base.isComplete && !shutdown.aborted;
   const listen = { maxHeaderBytes: MAX_HEADER_BYTES, clock, certificates: undefined };
   return new Supervisor('root', clock, log).plan(
-    new Supervisor('discovery', clock, log).plan(
-      new FeedReader(sources.routing, new RoutingConsumer(routing, log), clock, log),
-      new FeedReader(sources.instances, registry, clock, log),
+    new Supervisor('discovery', clock, log).plan(...readers),
+    peers.plan(
+      new KnowledgeListener(settings.peerAddress, base, peers, log),
+      new KnowledgeSeeker(base, clock, log),
+      new NodeAnnouncer(sources.nodes, base, { address: settings.peerAddress, clock, log }),
     ),
     probes.plan(
       new HttpListener({
--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -73,7 +73,7 @@
   ): Promise<Result<EndpointAnswer, AttemptFailure>> {
     try {
       const response = await this.#client.request({
-        method: call.method as Dispatcher.HttpMethod,
+        method: call.method,
         path: call.path,
         headers: [...call.headers],
         body: call.body === undefined || call.body.length === 0 ? null : call.body,
--- a/packages/rhubarbcroft/src/instances/InstanceRegistry.ts
+++ b/packages/rhubarbcroft/src/instances/InstanceRegistry.ts
@@ -75,6 +75,17 @@
     this.#version = Math.max(this.#version, page.version);
   }
 
+  /**
+   * Takes over what a peer knows. What is missing there counts as removed only if the peer hears from the
+   * store itself.
+   */
+  adopt(page: FeedPage<Instance>, isCurrent: boolean): void {
+    const doubtUntilMs = this.#doubtUntilMs;
+    this.#doubtUntilMs = isCurrent ? -Infinity : Infinity;
+    this.replaceAll(page);
+    this.#doubtUntilMs = doubtUntilMs;
+  }
+
   override noteOutage(): void {
     this.#doubtUntilMs = Infinity;
   }
--- a/packages/rhubarbcroft/src/peers/FrameCodec.ts
+++ b/packages/rhubarbcroft/src/peers/FrameCodec.ts
@@ -7,48 +7,46 @@
 import { Decoder, Encoder } from 'cbor-x';
 import { err, ok } from 'true-myth/result';
 import type Result from 'true-myth/result';
-import FRAME_STRUCTURES from './FRAME_STRUCTURES.js';
-import type PeerMessage from '@rhubarbcroft/protocol/peers/PeerMessage';
 import type Failure from '@rhubarbcroft/protocol/results/Failure';
 import createFailure from '@rhubarbcroft/protocol/results/createFailure';
 
 const LENGTH_BYTES = 4;
-const MESSAGE_TYPES = new Set<PeerMessage['type']>([
-  'hello',
-  'proof',
-  'heartbeat',
-  'loads',
-  'sends',
-  'drains',
-  'crashes',
-  'crashCleared',
-  'configurationRequest',
-  'configuration',
-]);
 
-function createCodecOptions(): ConstructorParameters<typeof Encoder>[0] {
+interface FrameCodecOptions {
+  readonly maxFrameBytes: number;
+  /** The values of `type` that a message may have. */
+  readonly types: ReadonlySet<string>;
+  /** Field names of frequent messages that both sides know, so that frames carry their values only. */
+  readonly structures: readonly (readonly string[])[];
+}
+
+function createCodecOptions(
+  structures: FrameCodecOptions['structures'],
+): ConstructorParameters<typeof Encoder>[0] {
   return {
-    useRecords: true,
+    useRecords: structures.length > 0,
     mapsAsObjects: true,
-    structures: FRAME_STRUCTURES.map((names) => [...names]),
-    maxSharedStructures: FRAME_STRUCTURES.length,
+    structures: structures.map((names) => [...names]),
+    maxSharedStructures: structures.length,
   };
 }
 
-export default class FrameCodec {
-  readonly #maxFrameBytes: number;
+export default class FrameCodec<Message extends { readonly type: string }> {
+  readonly #options: FrameCodecOptions;
 
-  readonly #encoder = new Encoder(createCodecOptions());
+  readonly #encoder: Encoder;
 
-  readonly #decoder = new Decoder(createCodecOptions());
+  readonly #decoder: Decoder;
 
   #buffered: Buffer = Buffer.alloc(0);
 
-  constructor(maxFrameBytes: number) {
-    this.#maxFrameBytes = maxFrameBytes;
+  constructor(options: FrameCodecOptions) {
+    this.#options = options;
+    this.#encoder = new Encoder(createCodecOptions(options.structures));
+    this.#decoder = new Decoder(createCodecOptions(options.structures));
   }
 
-  encode(message: PeerMessage): Buffer {
+  encode(message: Message): Buffer {
     const body = this.#encoder.encode(message);
     const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
     frame.writeUInt32BE(body.length, 0);
@@ -57,14 +55,17 @@
   }
 
   /** Takes received bytes and returns the messages that are now whole. */
-  decode(bytes: Buffer): Result<readonly PeerMessage[], Failure> {
+  decode(bytes: Buffer): Result<readonly Message[], Failure> {
     this.#buffered = this.#buffered.length === 0 ? bytes : Buffer.concat([this.#buffered, bytes]);
-    const messages: PeerMessage[] = [];
+    const messages: Message[] = [];
     while (this.#buffered.length >= LENGTH_BYTES) {
       const length = this.#buffered.readUInt32BE(0);
-      if (length > this.#maxFrameBytes) {
+      if (length > this.#options.maxFrameBytes) {
         return err(
-          createFailure('FRAME_TOO_LARGE', `${length} bytes, at most ${this.#maxFrameBytes}`),
+          createFailure(
+            'FRAME_TOO_LARGE',
+            `${length} bytes, at most ${this.#options.maxFrameBytes}`,
+          ),
         );
       }
       if (this.#buffered.length < LENGTH_BYTES + length) {
@@ -82,10 +83,14 @@
     return ok(messages);
   }
 
-  #decodeBody(body: Buffer): Result<PeerMessage, Failure> {
+  #decodeBody(body: Buffer): Result<Message, Failure> {
     try {
-      const message = this.#decoder.decode(body) as PeerMessage | null;
-      if (message !== null && typeof message === 'object' && MESSAGE_TYPES.has(message.type)) {
+      const message = this.#decoder.decode(body) as Message | null;
+      if (
+        message !== null &&
+        typeof message === 'object' &&
+        this.#options.types.has(message.type)
+      ) {
         return ok(message);
       }
       return err(createFailure('FRAME_MALFORMED', 'the frame holds no known message'));
--- a/packages/rhubarbcroft/src/peers/PeerSocket.ts
+++ b/packages/rhubarbcroft/src/peers/PeerSocket.ts
@@ -10,7 +10,8 @@
 import type Failure from '@rhubarbcroft/protocol/results/Failure';
 import createFailure from '@rhubarbcroft/protocol/results/createFailure';
 import type NodeDirectory from '../membership/NodeDirectory.js';
-import FrameCodec from './FrameCodec.js';
+import type FrameCodec from './FrameCodec.js';
+import createPeerCodec from './createPeerCodec.js';
 import type PeerTraffic from './PeerTraffic.js';
 import type PeerKey from './PeerKey.js';
 
@@ -21,14 +22,14 @@
 export default class PeerSocket {
   readonly #socket: Socket;
 
-  readonly #codec: FrameCodec;
+  readonly #codec: FrameCodec<PeerMessage>;
 
   readonly #traffic: PeerTraffic;
 
   constructor(socket: Socket, maxFrameBytes: number, traffic: PeerTraffic) {
     this.#socket = socket;
     this.#traffic = traffic;
-    this.#codec = new FrameCodec(maxFrameBytes);
+    this.#codec = createPeerCodec(maxFrameBytes);
     socket.setNoDelay(true);
     socket.on('error', () => socket.destroy());
   }
--- a/packages/rhubarbcroft/src/store/PlatformClient.ts
+++ b/packages/rhubarbcroft/src/store/PlatformClient.ts
@@ -44,9 +44,13 @@
     this.#timeoutMs = timeoutMs;
   }
 
-  async send(request: PlatformRequest, bounds: CallBounds = {}): Promise<Result<PlatformResponse, Failure>> {
+  async send(
+    request: PlatformRequest,
+    bounds: CallBounds = {},
+  ): Promise<Result<PlatformResponse, Failure>> {
     const timeout = AbortSignal.timeout(bounds.timeoutMs ?? this.#timeoutMs);
-    const signal = bounds.signal === undefined ? timeout : AbortSignal.any([timeout, bounds.signal]);
+    const signal =
+      bounds.signal === undefined ? timeout : AbortSignal.any([timeout, bounds.signal]);
     try {
       const response = await this.#pool.request({
         ...request,
--- a/test/peers/frames.test.ts
+++ b/test/peers/frames.test.ts
@@ -1,7 +1,7 @@
 /** Frames between peers: what they hold, their size, and what becomes of bad ones. */
 import { connect } from 'node:net';
 import { expect } from 'chai';
-import FrameCodec from 'rhubarbcroft/peers/FrameCodec';
+import createPeerCodec from 'rhubarbcroft/peers/createPeerCodec';
 import PeerKey from 'rhubarbcroft/peers/PeerKey';
 import LocalFleet from '@rhubarbcroft/standins/fleet/LocalFleet';
 import createSmallFleet from '@rhubarbcroft/standins/fleet/createSmallFleet';
@@ -25,9 +25,9 @@
       { type: 'drains', drains: [{ endpointId: 'engine-1', remainingMs: 5, handoverAfterMs: 1 }] },
       { type: 'crashCleared', fingerprint: 'f' },
     ];
-    const sender = new FrameCodec(1_024);
+    const sender = createPeerCodec(1_024);
     const bytes = Buffer.concat(messages.map((message) => sender.encode(message)));
-    const receiver = new FrameCodec(1_024);
+    const receiver = createPeerCodec(1_024);
     const received = [...bytes].flatMap((byte) =>
       receiver.decode(Buffer.from([byte])).unwrapOr([]),
     );
@@ -36,7 +36,7 @@
 
   it('end a connection on a frame that is too large or that is no message', () => {
     const describe = (bytes: Buffer): string => {
-      const decoded = new FrameCodec(64).decode(bytes);
+      const decoded = createPeerCodec(64).decode(bytes);
       return decoded.isErr ? `${decoded.error.code}: ${decoded.error.detail}` : 'accepted';
     };
     const frame = (body: Buffer): Buffer => {
@@ -49,7 +49,11 @@
       empty: describe(frame(Buffer.alloc(0))).split(':')[0],
       notCbor: describe(frame(Buffer.from([0xff, 0xff]))).split(':')[0],
       otherType: describe(
-        frame(new FrameCodec(64).encode({ type: 'gossip' } as never).subarray(4)),
+        frame(
+          createPeerCodec(64)
+            .encode({ type: 'gossip' } as never)
+            .subarray(4),
+        ),
       ),
     }).toMatchSnapshot();
   });
@@ -72,7 +76,7 @@
       const { peerAddress, program } = fleet.nodes[0];
       const socket = connect({ host: '127.0.0.1', port: Number(peerAddress.split(':')[1]) });
       socket.on('error', () => undefined);
-      const codec = new FrameCodec(1_024);
+      const codec = createPeerCodec(1_024);
       socket.write(
         codec.encode({ type: 'hello', nodeId: 'vm-9', incarnation: 'x', domain: 'd', nonce: 'n' }),
       );
