--- a/bench/control/measureParts.ts
+++ b/bench/control/measureParts.ts
@@ -6,6 +6,7 @@
 import PrefixIndex from 'rhubarbcroft/decisions/routing/PrefixIndex';
 import createPeerCodec from 'rhubarbcroft/peers/createPeerCodec';
 import SystemClock from 'rhubarbcroft/supervision/SystemClock';
+import type PeerMessage from '@rhubarbcroft/protocol/peers/PeerMessage';
 import parseFleetDocument from '@rhubarbcroft/protocol/fleet/parseFleetDocument';
 import type PartCost from './PartCost.js';
 import createEndpoint from './createEndpoint.js';
@@ -50,11 +51,7 @@
   };
 }
 
-function measureFrame(
-  part: string,
-  size: number,
-  message: Parameters<FrameCodec['encode']>[0],
-): PartCost {
+function measureFrame(part: string, size: number, message: PeerMessage): PartCost {
   const sender = createPeerCodec(1_048_576);
   const receiver = createPeerCodec(1_048_576);
   const usPerStep = timeStep(() => {
--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -16,6 +16,6 @@
   tsconfig: 'deploy/tsconfig.json',
   external: ['dtrace-provider', 'mv', 'moment', 'source-map-support', 'safe-json-stringify'],
   banner: {
-    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+    js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);",
   },
 });
