Reckon with peers' sends, and learn an engine's latency apart from its speed

Cause: prefills answered after about 90 ms plus their reading, so a learnt speed that took in both doubled, made every engine look busy and spread shared parts around. Change: queues per engine by rank from own sends and peers' notices; latency and speed learnt apart, mostly downwards; declined prefills draw on the retry budget.

--- a/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
@@ -6,6 +6,7 @@
  */
 import type Distance from './Distance.js';
 import type EngineCandidate from './EngineCandidate.js';
+import type EngineSpeeds from './EngineSpeeds.js';
 import PLACEMENT_COSTS from './PLACEMENT_COSTS.js';
 import type Place from './Place.js';
 import type Prompt from './Prompt.js';
@@ -13,13 +14,6 @@
 import type PromptPlan from './PromptPlan.js';
 import findDistance from './findDistance.js';
 
-interface EngineSpeeds {
-  /** Prompt tokens that a prefill engine reads in a millisecond. */
-  readonly prefillTokensPerMs: number;
-  /** How long moving the KV cache of one token inside a failure domain takes. */
-  readonly transferMsPerToken: number;
-}
-
 /** How much longer a transfer takes, and how much more it is priced, by distance (the engines' protocol). */
 const TRANSFER_TIMES = { domain: 1, region: 2, elsewhere: 10 } as const;
 const TRANSFER_PRICES = { domain: 1, region: 2, elsewhere: 3 } as const;
@@ -37,10 +31,13 @@
 
   readonly #speeds: EngineSpeeds;
 
-  constructor(place: Place, speeds: EngineSpeeds) {
+  readonly #readTransferMsPerToken: () => number;
+
+  constructor(place: Place, speeds: EngineSpeeds, readTransferMsPerToken: () => number) {
     super();
     this.#place = place;
     this.#speeds = speeds;
+    this.#readTransferMsPerToken = readTransferMsPerToken;
   }
 
   override choose(prompt: Prompt, candidates: readonly EngineCandidate[]): PromptPlan | undefined {
@@ -58,12 +55,14 @@
   }
 
   #planWhole(prompt: Prompt, candidate: EngineCandidate): PromptPlan {
-    const prefillMs = this.#pricePrefill(prompt, candidate, PLACEMENT_COSTS.decodePrefillFactor);
     return {
       engineId: candidate.id,
       prefillId: undefined,
-      newTokens: CostPromptPlacement.#countNew(prompt, candidate),
-      expectedFirstTokenMs: prefillMs + this.#priceEndpoint(prompt, candidate),
+      prefillMs: this.#estimatePrefillMs(prompt, candidate),
+      expectedFirstTokenMs:
+        this.#speeds.latencyMs +
+        this.#pricePrefill(prompt, candidate) +
+        this.#priceEndpoint(prompt, candidate),
     };
   }
 
@@ -77,7 +76,10 @@
       .filter(({ stage }) => stage === 'prefill')
       .map((candidate) => ({
         candidate,
-        costMs: this.#pricePrefill(prompt, candidate, 1) + this.#priceEndpoint(prompt, candidate),
+        costMs:
+          this.#speeds.latencyMs +
+          this.#pricePrefill(prompt, candidate) +
+          this.#priceEndpoint(prompt, candidate),
       }))
       .sort((a, b) => a.costMs - b.costMs)
       .slice(0, MAX_PREFILLERS);
@@ -90,25 +92,28 @@
     const { transferSetupMs, transferMsPerToken, handOverMs } = PLACEMENT_COSTS;
     const distance = this.#measure(prefiller.candidate.domain, receiver.domain);
     const msPerToken =
-      this.#speeds.transferMsPerToken * TRANSFER_TIMES[distance] +
+      this.#readTransferMsPerToken() * TRANSFER_TIMES[distance] +
       transferMsPerToken * TRANSFER_PRICES[distance];
     const transferMs = transferSetupMs + prompt.promptTokens * msPerToken;
     return {
       engineId: receiver.id,
       prefillId: prefiller.candidate.id,
-      newTokens: CostPromptPlacement.#countNew(prompt, prefiller.candidate),
+      prefillMs: this.#estimatePrefillMs(prompt, prefiller.candidate),
       expectedFirstTokenMs:
         prefiller.costMs + handOverMs + transferMs + this.#priceEndpoint(prompt, receiver),
     };
   }
 
-  #pricePrefill(prompt: Prompt, candidate: EngineCandidate, slowdown: number): number {
-    const newTokens = CostPromptPlacement.#countNew(prompt, candidate);
+  #pricePrefill(prompt: Prompt, candidate: EngineCandidate): number {
     const sharedTokens = prompt.promptTokens - (prompt.parts.at(-1)?.tokens ?? 0);
     const rereadTokens = Math.max(0, sharedTokens - candidate.cachedTokens);
-    const prefillMs =
-      ((candidate.backlogTokens + newTokens) * slowdown) / this.#speeds.prefillTokensPerMs;
-    return prefillMs + rereadTokens * PLACEMENT_COSTS.rereadMsPerToken;
+    const prefillMs = this.#estimatePrefillMs(prompt, candidate);
+    return candidate.waitMs + prefillMs + rereadTokens * PLACEMENT_COSTS.rereadMsPerToken;
+  }
+
+  #estimatePrefillMs({ promptTokens }: Prompt, { stage, cachedTokens }: EngineCandidate): number {
+    const newTokens = Math.max(0, promptTokens - cachedTokens);
+    return this.#speeds.estimatePrefillMs(stage, newTokens, promptTokens - newTokens);
   }
 
   #priceEndpoint(prompt: Prompt, candidate: EngineCandidate): number {
@@ -124,8 +129,4 @@
   #measure(from: string, to: string): Distance {
     return findDistance(this.#place.regionsByDomain, from, to);
   }
-
-  static #countNew(prompt: Prompt, candidate: EngineCandidate): number {
-    return Math.max(0, prompt.promptTokens - candidate.cachedTokens);
-  }
 }
--- a/packages/rhubarbcroft/src/decisions/placement/EngineCandidate.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/EngineCandidate.ts
@@ -6,8 +6,8 @@
   readonly slots: number;
   /** Requests that it is thought to run or have waiting. */
   readonly running: number;
-  /** Prompt tokens that it is thought to prefill before a new prompt of the rank in question. */
-  readonly backlogTokens: number;
+  /** How long a new prompt of the rank in question is thought to wait there. */
+  readonly waitMs: number;
   /** Tokens of the prompt in question, from its start, that are thought to be in its KV cache. */
   readonly cachedTokens: number;
   /** The recent share of failures, 0 to 1. */
--- a/packages/rhubarbcroft/src/decisions/placement/PLACEMENT_COSTS.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/PLACEMENT_COSTS.ts
@@ -10,8 +10,6 @@
    */
   paidLinkMsPerKb: 1.6,
   rereadMsPerToken: 0.016,
-  /** A decode engine prefills at half the speed of a prefill engine (the engines' protocol). */
-  decodePrefillFactor: 2,
   /** Set-up of one transfer of KV cache, on the users' sheet. */
   transferSetupMs: 3,
   /** What moving the KV cache of a token inside a failure domain is worth in waiting, by the users' price. */
--- a/packages/rhubarbcroft/src/decisions/placement/PromptPlan.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/PromptPlan.ts
@@ -4,8 +4,8 @@
   readonly engineId: string;
   /** The engine that prefills the prompt first, if not the same one. */
   readonly prefillId: string | undefined;
-  /** Tokens that are thought to need prefilling. */
-  readonly newTokens: number;
+  /** How long the prefill is thought to take once it begins. */
+  readonly prefillMs: number;
   readonly expectedFirstTokenMs: number;
 }
 
--- /dev/null
+++ b/packages/rhubarbcroft/src/decisions/placement/readTransferMs.ts
@@ -0,0 +1,9 @@
+/** How long moving the KV cache of one token inside a failure domain takes, by what the operator says of the links. */
+import type EngineLimits from '../../routes/EngineLimits.js';
+
+const BITS_PER_BYTE = 8;
+const KILOBITS_PER_MEGABIT = 1_000;
+
+export default function readTransferMs({ kvBytesPerToken, linkMbps }: EngineLimits): number {
+  return (kvBytesPerToken * BITS_PER_BYTE) / (linkMbps * KILOBITS_PER_MEGABIT);
+}
--- a/packages/rhubarbcroft/src/exchange/KnowledgeBase.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeBase.ts
@@ -1,8 +1,10 @@
 /** What this node knows from the store and its peers, as one thing that can be told and learnt. */
 import type InstanceRegistry from '../instances/InstanceRegistry.js';
 import type RoutingHolder from '../routes/RoutingHolder.js';
+import type Clock from '../supervision/Clock.js';
 import type Knowledge from './Knowledge.js';
 import type KnowledgeMessage from './KnowledgeMessage.js';
+import type SendNotice from './SendNotice.js';
 
 type Ask = Extract<KnowledgeMessage, { readonly type: 'ask' }>;
 
@@ -11,6 +13,7 @@
   readonly registry: InstanceRegistry;
   /** This node's own address for peers. */
   readonly address: string;
+  readonly clock: Clock;
   /** Whether this node hears from the store. */
   readonly isCurrent: () => boolean;
 }
@@ -74,6 +77,17 @@
     };
   }
 
+  /** Reckons with a prompt that a peer has sent to an engine. */
+  noteSend({ instanceId, rank, prefillMs, sharedParts }: SendNotice): void {
+    const { registry, clock } = this.#options;
+    const state = registry.find(instanceId);
+    if (state !== undefined) {
+      const sentAtMs = clock.nowMs();
+      state.queue.add({ attemptId: undefined, rank, costMs: prefillMs, sentAtMs });
+      state.cache.touch(sharedParts);
+    }
+  }
+
   /** Takes over what is newer than what is known here. Returns whether anything was. */
   learn({ routing, instances, isCurrent, nodes }: Knowledge): boolean {
     const { routing: holder, registry } = this.#options;
--- a/packages/rhubarbcroft/src/exchange/KnowledgeConnection.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeConnection.ts
@@ -4,10 +4,22 @@
 import describeFailure from '@rhubarbcroft/protocol/results/describeFailure';
 import Task from '../supervision/Task.js';
 import type KnowledgeBase from './KnowledgeBase.js';
+import type KnowledgeMessage from './KnowledgeMessage.js';
+import type SendNotice from './SendNotice.js';
 import createKnowledgeCodec from './createKnowledgeCodec.js';
 
-/** A peer asks as soon as it is connected; a connection that stays silent is dropped. */
-const SILENCE_TIMEOUT_MS = 5_000;
+/** A connection on which nothing came for this long is dropped; a peer that has something to say opens another. */
+const SILENCE_TIMEOUT_MS = 15_000;
+
+type WireSend = Extract<KnowledgeMessage, { readonly type: 'sent' }>['sends'][number];
+
+function decodeSend([instanceId, rank, prefillMs, ...parts]: WireSend): SendNotice {
+  const sharedParts = [];
+  for (let at = 0; at + 1 < parts.length; at += 2) {
+    sharedParts.push({ id: String(parts[at]), tokens: Number(parts[at + 1]) });
+  }
+  return { instanceId, rank, prefillMs, sharedParts };
+}
 
 export default class KnowledgeConnection extends Task {
   override readonly name = 'knowledge-connection';
@@ -41,6 +53,8 @@
           if (message.type === 'ask') {
             this.#base.addNodes([message.address]);
             this.#socket.write(codec.encode({ type: 'tell', knowledge: this.#base.tell(message) }));
+          } else if (message.type === 'sent') {
+            message.sends.forEach((send) => this.#base.noteSend(decodeSend(send)));
           }
         });
       }
--- a/packages/rhubarbcroft/src/exchange/KnowledgeMessage.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeMessage.ts
@@ -10,6 +10,11 @@
       /** Where the asker can be asked itself. */
       readonly address: string;
     }
-  | { readonly type: 'tell'; readonly knowledge: Knowledge };
+  | { readonly type: 'tell'; readonly knowledge: Knowledge }
+  /** Prompts sent to engines since the last notice: instance, rank, prefill in ms, ids and tokens of shared parts in turn. */
+  | {
+      readonly type: 'sent';
+      readonly sends: readonly (readonly [string, number, number, ...(string | number)[]])[];
+    };
 
 export default KnowledgeMessage;
--- /dev/null
+++ b/packages/rhubarbcroft/src/exchange/SendNotifier.ts
@@ -0,0 +1,58 @@
+/**
+ * Tells the peers which prompts this node has sent to which engines, so that all reckon with the same
+ * queues and caches. Each peer has a link of its own; in a large fleet only some peers are told.
+ */
+import BatchNotifier from '../peers/BatchNotifier.js';
+import type Clock from '../supervision/Clock.js';
+import type Supervisor from '../supervision/Supervisor.js';
+import type KnowledgeBase from './KnowledgeBase.js';
+import NoticeLink from './NoticeLink.js';
+import type SendNotice from './SendNotice.js';
+import createKnowledgeCodec from './createKnowledgeCodec.js';
+
+/** A prompt of middling size is read in this time; a notice that comes later says little. */
+const PERIOD_MS = 40;
+/** As many peers as the larger of today's fleets has, and some to be added. */
+const MAX_LINKS = 12;
+
+export default class SendNotifier extends BatchNotifier<SendNotice> {
+  override readonly name = 'send-notifier';
+
+  readonly #base: KnowledgeBase;
+
+  readonly #supervisor: Supervisor;
+
+  readonly #codec = createKnowledgeCodec();
+
+  readonly #links = new Map<string, NoticeLink>();
+
+  constructor(base: KnowledgeBase, supervisor: Supervisor, clock: Clock) {
+    super(clock, PERIOD_MS);
+    this.#base = base;
+    this.#supervisor = supervisor;
+  }
+
+  protected override send(notices: readonly SendNotice[]): void {
+    this.#openLinks();
+    const frame = this.#codec.encode({
+      type: 'sent',
+      sends: notices.map(({ instanceId, rank, prefillMs, sharedParts }) => [
+        instanceId,
+        rank,
+        prefillMs,
+        ...sharedParts.flatMap(({ id, tokens }) => [id, tokens]),
+      ]),
+    });
+    this.#links.forEach((link) => link.send(frame));
+  }
+
+  #openLinks(): void {
+    this.#base.nodes.forEach((address) => {
+      if (!this.#links.has(address) && this.#links.size < MAX_LINKS) {
+        const link = new NoticeLink(address, this.clock);
+        this.#links.set(address, link);
+        this.#supervisor.add(link);
+      }
+    });
+  }
+}
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -15,6 +15,7 @@
 import PrefillCall from './PrefillCall.js';
 import ProgressWatch from './ProgressWatch.js';
 import type StreamRelay from './StreamRelay.js';
+import notePrefill from './notePrefill.js';
 import readWholeBody from './readWholeBody.js';
 
 interface AttemptOptions {
@@ -53,10 +54,15 @@
       prefill.release();
       return { type: 'failed', failure: { kind: 'unsent', detail: 'too late' }, ran: 'not_run' };
     }
+    if (prefill.wasTurnedAway && !this.#spendRetry()) {
+      const detail = 'the prefill was declined and the retry budget is spent';
+      return { type: 'failed', failure: { kind: 'rejected', detail }, ran: 'not_run' };
+    }
     target.begin();
     this.#notePrompt(kvSource);
     const result = await this.#send(kvSource, signal);
-    target.end(this.#id);
+    target.end();
+    target.queue.drop(this.#id);
     this.#judge(result);
     if (result.type === 'failed' && result.ran === 'not_run') {
       prefill.release();
@@ -64,16 +70,31 @@
     return result;
   }
 
+  /** How long the target's own prefill is thought to take, also when it steps in for one that failed. */
+  get #costMs(): number {
+    const { request, placement } = this.#options;
+    const { prompt } = request;
+    if (placement.prefill === undefined || prompt === undefined) {
+      return placement.prefillMs;
+    }
+    const cachedTokens = placement.target.cache.countCached(prompt.parts);
+    const newTokens = Math.max(0, prompt.promptTokens - cachedTokens);
+    return this.#context.speeds.estimatePrefillMs('decode', newTokens, cachedTokens);
+  }
+
+  /** A prefill call that was not taken counts as an arrival, and what follows as another. */
+  #spendRetry(): boolean {
+    const { retries, clock } = this.#context;
+    return retries.spend(this.#options.request.service, clock.nowMs());
+  }
+
   #notePrompt(kvSource: KvSource | undefined): void {
     const { request, placement } = this.#options;
     const { target } = placement;
     if (request.prompt !== undefined) {
-      const nowMs = this.#context.clock.nowMs();
-      const newTokens =
-        kvSource === undefined
-          ? request.prompt.promptTokens - target.cache.countCached(request.prompt.parts)
-          : 0;
-      target.beginPrompt(this.#id, { newTokens, rank: request.route.rank, sentAtMs: nowMs });
+      if (kvSource === undefined) {
+        notePrefill(this.#context, request, target, this.#id, this.#costMs);
+      }
       target.cache.touch(request.prompt.parts);
     }
   }
@@ -141,7 +162,7 @@
   #expectEvents(watch: ProgressWatch): void {
     const { relay, patienceMs, maxPauseMs, placement } = this.#options;
     if (relay.hasEvents) {
-      placement.target.endPrompt(this.#id);
+      placement.target.queue.complete(this.#id, this.#context.clock.nowMs());
     }
     watch.expect(relay.hasEvents ? maxPauseMs : patienceMs);
   }
--- a/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
+++ b/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
@@ -56,7 +56,7 @@
       return undefined;
     }
     const prefill = states.find(({ instance }) => instance.id === plan.prefillId);
-    return { target, prefill, newTokens: plan.newTokens, expectedMs: plan.expectedFirstTokenMs };
+    return { target, prefill, prefillMs: plan.prefillMs, expectedMs: plan.expectedFirstTokenMs };
   }
 
   #findHome(prompt: Prompt, states: readonly InstanceState[]): string | undefined {
@@ -72,7 +72,7 @@
   }
 
   #describe(state: InstanceState, prompt: Prompt, rank: number, isHome: boolean): EngineCandidate {
-    const { clock, speeds } = this.#context;
+    const { clock } = this.#context;
     const nowMs = clock.nowMs();
     const { instance } = state;
     const stage = instance.stage ?? 'decode';
@@ -84,7 +84,7 @@
       stage,
       slots: instance.slots,
       running: state.estimateRunning(nowMs),
-      backlogTokens: state.estimateBacklogTokens(rank, speeds.readTokensPerMs(stage), nowMs),
+      waitMs: state.queue.readWaitMs(rank, nowMs),
       cachedTokens: Math.max(assumedTokens, state.cache.countCached(prompt.parts)),
       failureShare: state.health.readFailureShare(nowMs),
     };
--- a/packages/rhubarbcroft/src/forwarding/ForwardContext.ts
+++ b/packages/rhubarbcroft/src/forwarding/ForwardContext.ts
@@ -1,12 +1,13 @@
 /** What the forwarding of requests shares: who this node is, what it knows, and its budgets. */
 import type Logger from 'bunyan';
+import type EngineSpeeds from '../decisions/placement/EngineSpeeds.js';
 import type Place from '../decisions/placement/Place.js';
 import type FleetRetryBudget from '../decisions/retries/FleetRetryBudget.js';
+import type SendNotice from '../exchange/SendNotice.js';
 import type InstanceRegistry from '../instances/InstanceRegistry.js';
 import type RoutingHolder from '../routes/RoutingHolder.js';
 import type Clock from '../supervision/Clock.js';
 import type EndpointProtocol from './EndpointProtocol.js';
-import type EngineSpeeds from './EngineSpeeds.js';
 
 interface ForwardContext {
   readonly place: Place;
@@ -15,6 +16,8 @@
   readonly protocol: EndpointProtocol;
   readonly retries: FleetRetryBudget;
   readonly speeds: EngineSpeeds;
+  /** Tells the peers of a prompt that was sent to an engine. */
+  readonly noteSent: (notice: SendNotice) => void;
   readonly clock: Clock;
   readonly log: Logger;
 }
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -139,7 +139,7 @@
       route: request.route.name,
       instance: placement.target.instance.id,
       prefillInstance: placement.prefill?.instance.id,
-      newTokens: placement.newTokens,
+      prefillMs: Math.round(placement.prefillMs),
       expectedMs: Math.round(placement.expectedMs),
       sends,
       tookMs: Math.round(clock.nowMs() - request.arrivedAtMs),
@@ -149,7 +149,7 @@
       log.info({ ...fields, kind, detail, ran: result.ran }, 'attempt failed');
     } else {
       const status = result.type === 'held' ? result.answer.status : undefined;
-      log.debug({ ...fields, status }, 'attempt answered');
+      log.info({ ...fields, status }, 'attempt answered');
     }
   }
 
--- a/packages/rhubarbcroft/src/forwarding/Placement.ts
+++ b/packages/rhubarbcroft/src/forwarding/Placement.ts
@@ -5,8 +5,8 @@
   readonly target: InstanceState;
   /** The engine that prefills the prompt before the target continues; undefined when the target does both. */
   readonly prefill: InstanceState | undefined;
-  /** Tokens that are thought to need prefilling. */
-  readonly newTokens: number;
+  /** How long the prefill is thought to take once it begins; 0 for a plain call. */
+  readonly prefillMs: number;
   readonly expectedMs: number;
 }
 
--- a/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -14,6 +14,7 @@
 import type KvSource from './KvSource.js';
 import type Placement from './Placement.js';
 import ProgressWatch from './ProgressWatch.js';
+import notePrefill from './notePrefill.js';
 import readWholeBody from './readWholeBody.js';
 
 /** A prefill may take this many times what is expected, and this much more, before the target does it itself. */
@@ -32,41 +33,62 @@
 
   #source: KvSource | undefined;
 
+  #wasTurnedAway = false;
+
   constructor(context: ForwardContext, request: ForwardRequest, placement: Placement) {
     this.#context = context;
     this.#request = request;
     this.#placement = placement;
   }
 
+  /** Whether the engine may have counted the call as one that it did not take. */
+  get wasTurnedAway(): boolean {
+    return this.#wasTurnedAway;
+  }
+
   /** The KV cache to continue from; undefined when the target is to prefill the prompt itself. */
   async run(signal: AbortSignal): Promise<KvSource | undefined> {
-    const { prefill, newTokens, expectedMs } = this.#placement;
-    const { prompt, route, id } = this.#request;
+    const { prefill, prefillMs, expectedMs } = this.#placement;
+    const { prompt, id } = this.#request;
     if (prefill === undefined || prompt === undefined) {
       return undefined;
     }
     const { clock, log, speeds } = this.#context;
     const attemptId = randomUUID();
     const startedAtMs = clock.nowMs();
-    const wasIdle = prefill.inFlight === 0;
+    const wasIdle = prefill.queue.length === 0;
     prefill.begin();
-    prefill.beginPrompt(attemptId, { newTokens, rank: route.rank, sentAtMs: startedAtMs });
+    notePrefill(this.#context, this.#request, prefill, attemptId, prefillMs);
     prefill.cache.touch(prompt.parts);
     const watch = new ProgressWatch(signal);
     watch.expect(expectedMs * PATIENCE_FACTOR + PATIENCE_MS);
     const handle = await this.#call(prefill, watch.signal);
     watch.close();
-    prefill.end(attemptId);
     const nowMs = clock.nowMs();
+    prefill.end();
     if (handle.isErr) {
+      prefill.queue.drop(attemptId);
       PrefillCall.#judge(prefill, handle.error, nowMs, signal);
       const { kind, detail } = handle.error;
+      this.#wasTurnedAway = kind === 'rejected' || (kind === 'broken' && !watch.wasSilent);
       log.info({ requestId: id, instance: prefill.instance.id, kind, detail }, 'prefill failed');
       return undefined;
     }
+    prefill.queue.complete(attemptId, nowMs);
     prefill.health.recordSuccess(nowMs);
+    log.info(
+      {
+        requestId: id,
+        instance: prefill.instance.id,
+        prefillMs: Math.round(prefillMs),
+        tookMs: Math.round(nowMs - startedAtMs),
+        wasIdle,
+        promptTokens: prompt.promptTokens,
+      },
+      'prefill done',
+    );
     if (wasIdle) {
-      speeds.recordPrefill(newTokens, nowMs - startedAtMs);
+      speeds.record(prefillMs, nowMs - startedAtMs);
     }
     this.#source = { address: prefill.instance.address, handle: handle.value };
     return this.#source;
--- a/packages/rhubarbcroft/src/gateway/createGateway.ts
+++ b/packages/rhubarbcroft/src/gateway/createGateway.ts
@@ -9,14 +9,16 @@
 import type Logger from 'bunyan';
 import HttpListener from '../callers/HttpListener.js';
 import CostPromptPlacement from '../decisions/placement/CostPromptPlacement.js';
+import EngineSpeeds from '../decisions/placement/EngineSpeeds.js';
+import readTransferMs from '../decisions/placement/readTransferMs.js';
 import FleetRetryBudget from '../decisions/retries/FleetRetryBudget.js';
 import FeedReader from '../discovery/FeedReader.js';
 import KnowledgeBase from '../exchange/KnowledgeBase.js';
 import KnowledgeListener from '../exchange/KnowledgeListener.js';
 import KnowledgeSeeker from '../exchange/KnowledgeSeeker.js';
 import NodeAnnouncer from '../exchange/NodeAnnouncer.js';
+import SendNotifier from '../exchange/SendNotifier.js';
 import EngineChooser from '../forwarding/EngineChooser.js';
-import EngineSpeeds from '../forwarding/EngineSpeeds.js';
 import type ForwardContext from '../forwarding/ForwardContext.js';
 import Forwarder from '../forwarding/Forwarder.js';
 import ForwardingFrontEnd from '../forwarding/ForwardingFrontEnd.js';
@@ -49,6 +51,13 @@
 /** Before a node has heard of the others it takes itself for one of this many, as each user has today. */
 const MIN_NODES = 8;
 
+/** The transfer time of the engines that the routing document names; 0 while there are none. */
+function readFleetTransferMs(routing: RoutingHolder): number {
+  const services = routing.current?.document.services ?? [];
+  const engine = services.find((service) => service.engine !== undefined)?.engine;
+  return engine === undefined ? 0 : readTransferMs(engine);
+}
+
 interface Known {
   readonly routing: RoutingHolder;
   readonly registry: InstanceRegistry;
@@ -73,6 +82,7 @@
     routing,
     registry,
     address: settings.peerAddress,
+    clock,
     isCurrent: () => readers.every((reader) => reader.isHealthy),
   });
   base.addNodes(settings.seedPeers);
@@ -82,6 +92,7 @@
 function createContext(
   { settings, sources, log }: GatewayOptions,
   { routing, registry, base }: Known,
+  notifier: SendNotifier,
   clock: SystemClock,
 ): ForwardContext {
   return {
@@ -95,7 +106,8 @@
       reserve: settings.retryReserve,
       countNodes: () => Math.max(MIN_NODES, base.nodes.length + 1),
     }),
-    speeds: new EngineSpeeds(routing),
+    speeds: new EngineSpeeds(),
+    noteSent: (notice) => notifier.add(notice),
     clock,
     log,
   };
@@ -106,14 +118,18 @@
   const clock = new SystemClock();
   const known = createKnown(options, clock);
   const { readers, base } = known;
-  const context = createContext(options, known, clock);
+  const peers = new Supervisor('peers', clock, log);
+  const notifier = new SendNotifier(base, peers, clock);
+  const context = createContext(options, known, notifier, clock);
   const forwarder = new Forwarder({
     context,
-    engines: new EngineChooser(context, new CostPromptPlacement(settings, context.speeds)),
+    engines: new EngineChooser(
+      context,
+      new CostPromptPlacement(settings, context.speeds, () => readFleetTransferMs(known.routing)),
+    ),
     services: new ServiceChooser(context),
   });
   const callers = new Supervisor('callers', clock, log);
-  const peers = new Supervisor('peers', clock, log);
   const probes = new Supervisor('readiness', clock, log);
   const isReady = (): boolean => base.isComplete && !shutdown.aborted;
   const listen = { maxHeaderBytes: MAX_HEADER_BYTES, clock, certificates: undefined };
@@ -121,6 +137,7 @@
     new Supervisor('discovery', clock, log).plan(...readers),
     peers.plan(
       new KnowledgeListener(settings.peerAddress, base, peers, log),
+      notifier,
       new KnowledgeSeeker(base, clock, log),
       new NodeAnnouncer(sources.nodes, base, { address: settings.peerAddress, clock, log }),
     ),
--- a/packages/rhubarbcroft/src/instances/InstanceState.ts
+++ b/packages/rhubarbcroft/src/instances/InstanceState.ts
@@ -1,10 +1,10 @@
 /** What this node knows of one instance: what it has sent there, what was reported, and how it fared. */
 import EndpointHealth from '../decisions/health/EndpointHealth.js';
 import KvCacheModel from '../decisions/placement/KvCacheModel.js';
+import PrefillQueue from '../decisions/placement/PrefillQueue.js';
 import ConnectionPool from './ConnectionPool.js';
 import type Instance from './Instance.js';
 import type InstanceLoad from './InstanceLoad.js';
-import type SentPrompt from './SentPrompt.js';
 
 interface InstanceStateOptions {
   readonly connectTimeoutMs: number;
@@ -13,22 +13,20 @@
 
 /** How fast a report of load loses its weight: reports are some hundred milliseconds old when they come. */
 const REPORT_FADE_MS = 400;
-/** What a waiting prompt of another node is taken to measure, the mean on the users' sheet. */
-const FOREIGN_PROMPT_TOKENS = 3_000;
 
 export default class InstanceState {
   readonly health = new EndpointHealth();
 
   readonly cache: KvCacheModel;
 
+  readonly queue = new PrefillQueue();
+
   readonly pool: ConnectionPool;
 
   #instance: Instance;
 
   #inFlight = 0;
 
-  readonly #prompts = new Map<string, SentPrompt>();
-
   #load: InstanceLoad | undefined;
 
   #loadAtMs = -Infinity;
@@ -56,18 +54,8 @@
     this.#inFlight += 1;
   }
 
-  end(attemptId: string): void {
+  end(): void {
     this.#inFlight -= 1;
-    this.#prompts.delete(attemptId);
-  }
-
-  beginPrompt(attemptId: string, prompt: SentPrompt): void {
-    this.#prompts.set(attemptId, prompt);
-  }
-
-  /** The prompt of an attempt has been prefilled. */
-  endPrompt(attemptId: string): void {
-    this.#prompts.delete(attemptId);
   }
 
   recordLoad(load: InstanceLoad, nowMs: number): void {
@@ -81,23 +69,6 @@
     return Math.max(this.#inFlight, reported * this.#weighReport(nowMs));
   }
 
-  /** Prompt tokens that go before a new prompt of this rank. */
-  estimateBacklogTokens(rank: number, tokensPerMs: number, nowMs: number): number {
-    let ownTokens = 0;
-    let oldestAtMs = nowMs;
-    let count = 0;
-    this.#prompts.forEach((prompt) => {
-      if (prompt.rank <= rank) {
-        ownTokens += prompt.newTokens;
-        oldestAtMs = Math.min(oldestAtMs, prompt.sentAtMs);
-        count += 1;
-      }
-    });
-    const doneTokens = Math.min(ownTokens, (nowMs - oldestAtMs) * tokensPerMs);
-    const foreign = Math.max(0, (this.#load?.waiting ?? 0) - count) * this.#weighReport(nowMs);
-    return ownTokens - doneTokens + foreign * FOREIGN_PROMPT_TOKENS;
-  }
-
   dumpState(): unknown {
     const { id, service, address, domain, stage, isLeaving } = this.#instance;
     return { id, service, address, domain, stage, isLeaving, inFlight: this.#inFlight };
