--- a/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
@@ -100,7 +100,11 @@
       prefillId: prefiller.candidate.id,
       prefillMs: this.#estimatePrefillMs(prompt, prefiller.candidate),
       expectedFirstTokenMs:
-        prefiller.costMs + handOverMs + transferMs + this.#priceEndpoint(prompt, receiver),
+        prefiller.costMs +
+        handOverMs +
+        transferMs +
+        receiver.waitMs +
+        this.#priceEndpoint(prompt, receiver),
     };
   }
 
