Place generations by what their tokens will take, and keep prefill off busy engines

Cause: answers have seven tokens an event, so tokens, not requests, load the engines that generate; a prefill on one of them slows every stream there (one step grows from 6 to 30 ms). Change: caller's estimate of the output; running streams of peers by notices; price of steps, of bystanders and of prefill at a generating engine (factor 3); fewer homes there.

--- a/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
@@ -62,6 +62,8 @@
       expectedFirstTokenMs:
         this.#speeds.latencyMs +
         this.#pricePrefill(prompt, candidate) +
+        this.#priceBystanders(prompt, candidate) +
+        this.#priceGeneration(prompt, candidate) +
         this.#priceEndpoint(prompt, candidate),
     };
   }
@@ -104,6 +106,7 @@
         handOverMs +
         transferMs +
         receiver.waitMs +
+        this.#priceGeneration(prompt, receiver) +
         this.#priceEndpoint(prompt, receiver),
     };
   }
@@ -115,19 +118,31 @@
     return candidate.waitMs + prefillMs + rereadTokens * PLACEMENT_COSTS.rereadMsPerToken;
   }
 
+  /** What a prefill costs the streams that run on the same engine. */
+  #priceBystanders(prompt: Prompt, candidate: EngineCandidate): number {
+    const delayMs = this.#estimatePrefillMs(prompt, candidate) * candidate.running;
+    return delayMs * PLACEMENT_COSTS.bystanderWeight;
+  }
+
+  /** The tokens after the first: a step each, and slow ones while the engine prefills. */
+  #priceGeneration({ outputTokens }: Prompt, { running, prefillingMs }: EngineCandidate): number {
+    const { stepMs, stepMsPerRequest, generationWeight } = PLACEMENT_COSTS;
+    const generationMs = outputTokens * (stepMs + stepMsPerRequest * running) + prefillingMs;
+    return generationMs * generationWeight;
+  }
+
   #estimatePrefillMs({ promptTokens }: Prompt, { stage, cachedTokens }: EngineCandidate): number {
     const newTokens = Math.max(0, promptTokens - cachedTokens);
     return this.#speeds.estimatePrefillMs(stage, newTokens, promptTokens - newTokens);
   }
 
   #priceEndpoint(prompt: Prompt, candidate: EngineCandidate): number {
-    const { elsewhereMs, regionMs, paidLinkMsPerKb, runningMs, failureMs } = PLACEMENT_COSTS;
+    const { elsewhereMs, regionMs, paidLinkMsPerKb, failureMs } = PLACEMENT_COSTS;
     const distance = this.#measure(this.#place.domain, candidate.domain);
     const waitMs = { domain: 0, region: regionMs, elsewhere: elsewhereMs }[distance];
     const paidMs = distance === 'domain' ? 0 : (prompt.bodyBytes / BYTES_PER_KB) * paidLinkMsPerKb;
     const fullMs = candidate.running >= candidate.slots ? failureMs : 0;
-    const loadMs = candidate.running * runningMs + candidate.failureShare * failureMs;
-    return waitMs + paidMs + fullMs + loadMs;
+    return waitMs + paidMs + fullMs + candidate.failureShare * failureMs;
   }
 
   #measure(from: string, to: string): Distance {
--- a/packages/rhubarbcroft/src/decisions/placement/EngineCandidate.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/EngineCandidate.ts
@@ -8,6 +8,8 @@
   readonly running: number;
   /** How long a new prompt of the rank in question is thought to wait there. */
   readonly waitMs: number;
+  /** How long it is thought to prefill altogether; tokens come slowly meanwhile. */
+  readonly prefillingMs: number;
   /** Tokens of the prompt in question, from its start, that are thought to be in its KV cache. */
   readonly cachedTokens: number;
   /** The recent share of failures, 0 to 1. */
--- a/packages/rhubarbcroft/src/decisions/placement/EngineSpeeds.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/EngineSpeeds.ts
@@ -9,7 +9,7 @@
 const MS_PER_TOKEN = 1 / 60;
 const MS_PER_PAIR = 0.4e-6;
 /** A decode engine prefills at half the speed of a prefill engine (the engines' protocol). */
-const STAGE_FACTORS = { prefill: 1, decode: 2 } as const;
+const STAGE_FACTORS = { prefill: 1, decode: 3 } as const;
 /**
  * The weight of a sample below what is believed, and of one above it: what took longer may have waited
  * behind a prompt of which this node does not know.
--- a/packages/rhubarbcroft/src/decisions/placement/PLACEMENT_COSTS.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/PLACEMENT_COSTS.ts
@@ -16,8 +16,13 @@
   transferMsPerToken: 0.001,
   /** A hand-over's second call and its answer. */
   handOverMs: 5,
-  /** What each running request adds to the time of a step times the steps of a short answer. */
-  runningMs: 2,
+  /** The time of one step of an engine, and what each running request adds to it, as on the users' sheet. */
+  stepMs: 5,
+  stepMsPerRequest: 0.15,
+  /** What a millisecond of an answer's later tokens counts for beside one of its first token. */
+  generationWeight: 0.2,
+  /** What a millisecond of delay counts for to each stream that runs beside a prefill. */
+  bystanderWeight: 0.05,
   /** What a certain failure would cost: about a target latency. */
   failureMs: 800,
 } as const;
--- a/packages/rhubarbcroft/src/exchange/KnowledgeBase.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeBase.ts
@@ -78,12 +78,17 @@
   }
 
   /** Reckons with a prompt that a peer has sent to an engine. */
-  noteSend({ instanceId, rank, prefillMs, sharedParts }: SendNotice): void {
+  noteSend({ instanceId, rank, prefillMs, outputTokens, sharedParts }: SendNotice): void {
     const { registry, clock } = this.#options;
     const state = registry.find(instanceId);
     if (state !== undefined) {
       const sentAtMs = clock.nowMs();
-      state.queue.add({ attemptId: undefined, rank, costMs: prefillMs, sentAtMs });
+      if (prefillMs > 0) {
+        state.queue.add({ attemptId: undefined, rank, costMs: prefillMs, sentAtMs });
+      }
+      if (outputTokens > 0) {
+        state.beginForeign(sentAtMs + prefillMs, outputTokens);
+      }
       state.cache.touch(sharedParts);
     }
   }
--- a/packages/rhubarbcroft/src/exchange/KnowledgeConnection.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeConnection.ts
@@ -13,12 +13,12 @@
 
 type WireSend = Extract<KnowledgeMessage, { readonly type: 'sent' }>['sends'][number];
 
-function decodeSend([instanceId, rank, prefillMs, ...parts]: WireSend): SendNotice {
+function decodeSend([instanceId, rank, prefillMs, outputTokens, ...parts]: WireSend): SendNotice {
   const sharedParts = [];
   for (let at = 0; at + 1 < parts.length; at += 2) {
     sharedParts.push({ id: String(parts[at]), tokens: Number(parts[at + 1]) });
   }
-  return { instanceId, rank, prefillMs, sharedParts };
+  return { instanceId, rank, prefillMs, outputTokens, sharedParts };
 }
 
 export default class KnowledgeConnection extends Task {
--- a/packages/rhubarbcroft/src/exchange/KnowledgeMessage.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeMessage.ts
@@ -11,10 +11,16 @@
       readonly address: string;
     }
   | { readonly type: 'tell'; readonly knowledge: Knowledge }
-  /** Prompts sent to engines since the last notice: instance, rank, prefill in ms, ids and tokens of shared parts in turn. */
+  /** Prompts sent to engines since the last notice: instance, rank, prefill in ms, output tokens, ids and tokens of shared parts in turn. */
   | {
       readonly type: 'sent';
-      readonly sends: readonly (readonly [string, number, number, ...(string | number)[]])[];
+      readonly sends: readonly (readonly [
+        string,
+        number,
+        number,
+        number,
+        ...(string | number)[],
+      ])[];
     };
 
 export default KnowledgeMessage;
--- a/packages/rhubarbcroft/src/exchange/SendNotice.ts
+++ b/packages/rhubarbcroft/src/exchange/SendNotice.ts
@@ -6,6 +6,8 @@
   readonly rank: number;
   /** How long the prefill is thought to take. */
   readonly prefillMs: number;
+  /** Tokens that it is expected to generate; 0 when it only prefills. */
+  readonly outputTokens: number;
   /** The parts that other prompts may share; the engine keeps them. */
   readonly sharedParts: readonly PromptPart[];
 }
--- a/packages/rhubarbcroft/src/exchange/SendNotifier.ts
+++ b/packages/rhubarbcroft/src/exchange/SendNotifier.ts
@@ -36,10 +36,11 @@
     this.#openLinks();
     const frame = this.#codec.encode({
       type: 'sent',
-      sends: notices.map(({ instanceId, rank, prefillMs, sharedParts }) => [
+      sends: notices.map(({ instanceId, rank, prefillMs, outputTokens, sharedParts }) => [
         instanceId,
         rank,
         prefillMs,
+        outputTokens,
         ...sharedParts.flatMap(({ id, tokens }) => [id, tokens]),
       ]),
     });
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -15,7 +15,7 @@
 import PrefillCall from './PrefillCall.js';
 import ProgressWatch from './ProgressWatch.js';
 import type StreamRelay from './StreamRelay.js';
-import notePrefill from './notePrefill.js';
+import noteSend from './noteSend.js';
 import readWholeBody from './readWholeBody.js';
 
 interface AttemptOptions {
@@ -92,10 +92,11 @@
     const { request, placement } = this.#options;
     const { target } = placement;
     if (request.prompt !== undefined) {
-      if (kvSource === undefined) {
-        notePrefill(this.#context, request, target, this.#id, this.#costMs);
-      }
-      target.cache.touch(request.prompt.parts);
+      noteSend(this.#context, request, target, {
+        attemptId: this.#id,
+        prefillMs: kvSource === undefined ? this.#costMs : 0,
+        generates: true,
+      });
     }
   }
 
--- a/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
+++ b/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
@@ -19,7 +19,7 @@
 /** How far it is believed that a home holds a part which this node has not sent there. */
 const HOME_TRUST = 0.8;
 /** The share of homes that an engine gets, by how fast it prefills. */
-const HOME_WEIGHTS = { prefill: 1, decode: 0.5 } as const;
+const HOME_WEIGHTS = { prefill: 1, decode: 0.25 } as const;
 
 function listShared(prompt: Prompt): readonly PromptPart[] {
   return prompt.parts.slice(0, -1);
@@ -85,6 +85,7 @@
       slots: instance.slots,
       running: state.estimateRunning(nowMs),
       waitMs: state.queue.readWaitMs(rank, nowMs),
+      prefillingMs: state.queue.readWaitMs(Infinity, nowMs),
       cachedTokens: Math.max(assumedTokens, state.cache.countCached(prompt.parts)),
       failureShare: state.health.readFailureShare(nowMs),
     };
--- a/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -14,7 +14,7 @@
 import type KvSource from './KvSource.js';
 import type Placement from './Placement.js';
 import ProgressWatch from './ProgressWatch.js';
-import notePrefill from './notePrefill.js';
+import noteSend from './noteSend.js';
 import readWholeBody from './readWholeBody.js';
 
 /** A prefill may take this many times what is expected, and this much more, before the target does it itself. */
@@ -58,8 +58,7 @@
     const startedAtMs = clock.nowMs();
     const wasIdle = prefill.queue.length === 0;
     prefill.begin();
-    notePrefill(this.#context, this.#request, prefill, attemptId, prefillMs);
-    prefill.cache.touch(prompt.parts);
+    noteSend(this.#context, this.#request, prefill, { attemptId, prefillMs, generates: false });
     const watch = new ProgressWatch(signal);
     watch.expect(expectedMs * PATIENCE_FACTOR + PATIENCE_MS);
     const handle = await this.#call(prefill, watch.signal);
--- a/packages/rhubarbcroft/src/instances/InstanceState.ts
+++ b/packages/rhubarbcroft/src/instances/InstanceState.ts
@@ -11,6 +11,8 @@
   readonly kvCapacityTokens: number;
 }
 
+/** What a token of a peer's generation is thought to take on an engine with some load. */
+const TOKEN_MS = 10;
 /** How fast a report of load loses its weight: reports are some hundred milliseconds old when they come. */
 const REPORT_FADE_MS = 400;
 
@@ -27,6 +29,9 @@
 
   #inFlight = 0;
 
+  /** When the generations that peers have sent are thought to end. */
+  #foreignEndsAtMs: readonly number[] = [];
+
   #load: InstanceLoad | undefined;
 
   #loadAtMs = -Infinity;
@@ -58,15 +63,24 @@
     this.#inFlight -= 1;
   }
 
+  /** A peer has sent a generation that begins about then. */
+  beginForeign(startsAtMs: number, outputTokens: number): void {
+    this.#foreignEndsAtMs = [...this.#foreignEndsAtMs, startsAtMs + outputTokens * TOKEN_MS];
+  }
+
   recordLoad(load: InstanceLoad, nowMs: number): void {
     this.#load = load;
     this.#loadAtMs = nowMs;
   }
 
-  /** Requests that run or wait there: this node's own, or what was reported if that is more. */
+  /** Requests that run or wait there: this node's own, and its peers' or what was reported, whichever is more. */
   estimateRunning(nowMs: number): number {
+    this.#foreignEndsAtMs = this.#foreignEndsAtMs.filter((atMs) => atMs > nowMs);
     const reported = this.#load === undefined ? 0 : this.#load.running + this.#load.waiting;
-    return Math.max(this.#inFlight, reported * this.#weighReport(nowMs));
+    return Math.max(
+      this.#inFlight + this.#foreignEndsAtMs.length,
+      reported * this.#weighReport(nowMs),
+    );
   }
 
   dumpState(): unknown {
