Refuse at arrival what cannot be served in time, and leave a lost endpoint at once

Requests waited at dark endpoints until their patience ended; others were sent although their first token could not come in time. Change: plans tell the expected time from the cost; hopeless requests are refused with a time to come back; an endpoint that cannot be reached ends what may go elsewhere; a send that reached nobody costs no budget; prefills get three times what is expected and 1.5 s.

--- a/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
@@ -48,8 +48,7 @@
     ];
     let best: PromptPlan | undefined;
     plans.forEach((plan) => {
-      best =
-        best === undefined || plan.expectedFirstTokenMs < best.expectedFirstTokenMs ? plan : best;
+      best = best === undefined || plan.costMs < best.costMs ? plan : best;
     });
     return best;
   }
@@ -59,8 +58,8 @@
       engineId: candidate.id,
       prefillId: undefined,
       prefillMs: this.#estimatePrefillMs(prompt, candidate),
-      expectedFirstTokenMs:
-        this.#speeds.latencyMs +
+      expectedFirstTokenMs: this.#estimateReadyMs(prompt, candidate),
+      costMs:
         this.#pricePrefill(prompt, candidate) +
         this.#priceBystanders(prompt, candidate) +
         this.#priceGeneration(prompt, candidate) +
@@ -78,10 +77,7 @@
       .filter(({ stage }) => stage === 'prefill')
       .map((candidate) => ({
         candidate,
-        costMs:
-          this.#speeds.latencyMs +
-          this.#pricePrefill(prompt, candidate) +
-          this.#priceEndpoint(prompt, candidate),
+        costMs: this.#pricePrefill(prompt, candidate) + this.#priceEndpoint(prompt, candidate),
       }))
       .sort((a, b) => a.costMs - b.costMs)
       .slice(0, MAX_PREFILLERS);
@@ -93,24 +89,32 @@
   #planHandOver(prompt: Prompt, prefiller: Priced, receiver: EngineCandidate): PromptPlan {
     const { transferSetupMs, transferMsPerToken, handOverMs } = PLACEMENT_COSTS;
     const distance = this.#measure(prefiller.candidate.domain, receiver.domain);
-    const msPerToken =
-      this.#readTransferMsPerToken() * TRANSFER_TIMES[distance] +
-      transferMsPerToken * TRANSFER_PRICES[distance];
-    const transferMs = transferSetupMs + prompt.promptTokens * msPerToken;
+    const { promptTokens } = prompt;
+    const transferMs =
+      transferSetupMs +
+      promptTokens * this.#readTransferMsPerToken() * TRANSFER_TIMES[distance] +
+      receiver.waitMs;
+    const transferPriceMs = promptTokens * transferMsPerToken * TRANSFER_PRICES[distance];
     return {
       engineId: receiver.id,
       prefillId: prefiller.candidate.id,
       prefillMs: this.#estimatePrefillMs(prompt, prefiller.candidate),
-      expectedFirstTokenMs:
+      expectedFirstTokenMs: this.#estimateReadyMs(prompt, prefiller.candidate) + transferMs,
+      costMs:
         prefiller.costMs +
         handOverMs +
         transferMs +
-        receiver.waitMs +
+        transferPriceMs +
         this.#priceGeneration(prompt, receiver) +
         this.#priceEndpoint(prompt, receiver),
     };
   }
 
+  /** When the prompt is thought to have been prefilled. */
+  #estimateReadyMs(prompt: Prompt, candidate: EngineCandidate): number {
+    return this.#speeds.latencyMs + candidate.waitMs + this.#estimatePrefillMs(prompt, candidate);
+  }
+
   #pricePrefill(prompt: Prompt, candidate: EngineCandidate): number {
     const sharedTokens = prompt.promptTokens - (prompt.parts.at(-1)?.tokens ?? 0);
     const rereadTokens = Math.max(0, sharedTokens - candidate.cachedTokens);
--- a/packages/rhubarbcroft/src/decisions/placement/PromptPlan.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/PromptPlan.ts
@@ -7,6 +7,8 @@
   /** How long the prefill is thought to take once it begins. */
   readonly prefillMs: number;
   readonly expectedFirstTokenMs: number;
+  /** What the plan costs this request and others, in milliseconds of wait; the least is chosen. */
+  readonly costMs: number;
 }
 
 export default PromptPlan;
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -102,7 +102,8 @@
 
   async #send(kvSource: KvSource | undefined, signal: AbortSignal): Promise<AttemptResult> {
     const { request, placement, patienceMs } = this.#options;
-    const watch = new ProgressWatch(signal);
+    const mayFollow = patienceMs !== undefined;
+    const watch = new ProgressWatch(signal, mayFollow ? placement.target.lost : undefined);
     watch.expect(patienceMs);
     const connection = placement.target.pool.take(request.isRepeatable);
     try {
@@ -215,7 +216,7 @@
         health.recordError(nowMs);
       }
     } else if (result.failure.kind === 'unsent') {
-      health.recordUnreachable(nowMs);
+      target.noteUnreachable(nowMs);
     } else if (result.failure.kind !== 'rejected') {
       health.recordBreak(nowMs);
     }
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -45,6 +45,8 @@
 const MAX_EVENT_PAUSE_MS = 1_000;
 /** When to come back after a refusal, as long as nothing better is known. */
 const RETRY_AFTER_MS = 300;
+/** Callers heed a time to come back of up to a third of what they have left. */
+const MAX_RETRY_AFTER_FRACTION = 0.3;
 /** A stream that is late for its target may still be served: a run that is cut has been prefilled in vain. */
 const STREAM_PATIENCE_TARGETS = 3;
 const FIRST_SERVER_ERROR = 500;
@@ -71,6 +73,10 @@
       last: undefined,
     };
     let placement = this.#choose(request, progress);
+    const hopeless = placement && this.#refuseHopeless(request, placement);
+    if (hopeless !== undefined) {
+      return err(hopeless);
+    }
     while (placement !== undefined && !signal.aborted) {
       const lastEventId = relay.lastEventId ?? request.lastEventId;
       const mayFollow = this.#mayRunAgain(request, progress.runs + 1);
@@ -88,23 +94,36 @@
       if (!this.#mayFollow(request, progress, signal)) {
         return Forwarder.#conclude(progress, placement, signal);
       }
-      placement = this.#choose(request, progress) ?? undefined;
-      if (
-        placement === undefined ||
-        !context.retries.spend(request.service, context.clock.nowMs())
-      ) {
-        placement = undefined;
-      }
+      placement = this.#maySendAgain(request, result) ? this.#choose(request, progress) : undefined;
     }
     return Forwarder.#conclude(progress, placement, signal);
   }
 
+  /** A send that reached no endpoint is no arrival; any other draws on the budget of the fleet. */
+  #maySendAgain(request: ForwardRequest, result: AttemptResult): boolean {
+    const { retries, clock } = this.#options.context;
+    const wasUnsent = result.type === 'failed' && result.failure.kind === 'unsent';
+    return wasUnsent || retries.spend(request.service, clock.nowMs());
+  }
+
   #choose(request: ForwardRequest, tried: Tried): Placement | undefined {
     const { engines, services } = this.#options;
     const chooser = request.prompt === undefined ? services : engines;
     return chooser.choose(request, tried);
   }
 
+  /** Refuses at its arrival a request whose first token cannot come before its time is over. */
+  #refuseHopeless(request: ForwardRequest, placement: Placement): Failure | undefined {
+    const leftMs = request.expiresAtMs - this.#options.context.clock.nowMs();
+    if (placement.expectedMs <= leftMs) {
+      return undefined;
+    }
+    const expectedMs = Math.round(placement.expectedMs);
+    const detail = `the first token is expected in ${expectedMs} ms, and ${Math.round(leftMs)} ms are left`;
+    const retryAfterMs = Math.min(placement.expectedMs - leftMs, leftMs * MAX_RETRY_AFTER_FRACTION);
+    return createFailure('DEADLINE_UNREACHABLE', detail, 'not_run', retryAfterMs);
+  }
+
   #mayRunAgain(request: ForwardRequest, runs: number): boolean {
     return request.isRepeatable && runs < request.route.maxAttempts;
   }
@@ -112,7 +131,7 @@
   /** How long to wait for the first sign of an answer before another attempt is worth more. */
   #findPatienceMs({ route }: ForwardRequest, placement: Placement): number {
     const targets = route.kind === 'stream' ? STREAM_PATIENCE_TARGETS : 1;
-    return Math.max(route.targetLatencyMs * targets, placement.expectedMs * 2);
+    return Math.max(route.targetLatencyMs * targets, placement.expectedMs * STREAM_PATIENCE_TARGETS);
   }
 
   #mayFollow(request: ForwardRequest, progress: Progress, signal: AbortSignal): boolean {
--- a/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -18,8 +18,8 @@
 import readWholeBody from './readWholeBody.js';
 
 /** A prefill may take this many times what is expected, and this much more, before the target does it itself. */
-const PATIENCE_FACTOR = 2;
-const PATIENCE_MS = 500;
+const PATIENCE_FACTOR = 3;
+const PATIENCE_MS = 1_500;
 /** How long freeing a handle may take; the engine frees it by itself after a few seconds. */
 const RELEASE_TIMEOUT_MS = 1_000;
 const STATUS_OK = 200;
@@ -59,7 +59,7 @@
     const wasIdle = prefill.queue.length === 0;
     prefill.begin();
     noteSend(this.#context, this.#request, prefill, { attemptId, prefillMs, generates: false });
-    const watch = new ProgressWatch(signal);
+    const watch = new ProgressWatch(signal, prefill.lost);
     watch.expect(expectedMs * PATIENCE_FACTOR + PATIENCE_MS);
     const handle = await this.#call(prefill, watch.signal);
     watch.close();
@@ -187,7 +187,7 @@
       return;
     }
     if (failure.kind === 'unsent') {
-      prefill.health.recordUnreachable(nowMs);
+      prefill.noteUnreachable(nowMs);
     } else if (failure.kind !== 'rejected') {
       prefill.health.recordBreak(nowMs);
     }
--- a/packages/rhubarbcroft/src/forwarding/ProgressWatch.ts
+++ b/packages/rhubarbcroft/src/forwarding/ProgressWatch.ts
@@ -1,4 +1,7 @@
-/** Aborts an attempt that makes no progress for a while, or when the request itself ends. */
+/**
+ * Aborts an attempt that makes no progress for a while, whose endpoint has become unreachable, or when the
+ * request itself ends.
+ */
 export default class ProgressWatch {
   readonly #controller = new AbortController();
 
@@ -8,14 +11,21 @@
 
   #wasSilent = false;
 
+  readonly #lost: AbortSignal | undefined;
+
   readonly #abort = (): void => this.#controller.abort(this.#outer.reason);
 
-  constructor(outer: AbortSignal) {
+  readonly #abortLost = (): void => this.#end(this.#lost?.reason as Error);
+
+  /** `lost` is given when the attempt may be made elsewhere. */
+  constructor(outer: AbortSignal, lost?: AbortSignal) {
     this.#outer = outer;
+    this.#lost = lost;
     if (outer.aborted) {
       this.#abort();
     }
     outer.addEventListener('abort', this.#abort, { once: true });
+    lost?.addEventListener('abort', this.#abortLost, { once: true });
   }
 
   get signal(): AbortSignal {
@@ -32,8 +42,7 @@
     clearTimeout(this.#timer);
     if (withinMs !== undefined) {
       this.#timer = setTimeout(() => {
-        this.#wasSilent = true;
-        this.#controller.abort(new Error(`nothing came for ${Math.round(withinMs)} ms`));
+        this.#end(new Error(`nothing came for ${Math.round(withinMs)} ms`));
       }, withinMs);
     }
   }
@@ -41,5 +50,11 @@
   close(): void {
     clearTimeout(this.#timer);
     this.#outer.removeEventListener('abort', this.#abort);
+    this.#lost?.removeEventListener('abort', this.#abortLost);
+  }
+
+  #end(reason: Error): void {
+    this.#wasSilent = true;
+    this.#controller.abort(reason);
   }
 }
--- a/packages/rhubarbcroft/src/instances/ConnectionPool.ts
+++ b/packages/rhubarbcroft/src/instances/ConnectionPool.ts
@@ -39,6 +39,11 @@
 
   close(): void {
     this.#isClosed = true;
+    this.clear();
+  }
+
+  /** Drops the idle connections. */
+  clear(): void {
     this.#idle.forEach((connection) => connection.close());
     this.#idle = [];
   }
--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -31,6 +31,13 @@
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 /** How long a connection is kept idle when the endpoint announces nothing. */
 const KEEP_ALIVE_MS = 4_000;
+const RESET = 'ECONNRESET';
+const FRAMING_HEADERS = new Set(['content-length', 'transfer-encoding']);
+
+/** Whether the headers say where the body ends; otherwise it ends with the connection. */
+function isFramed(rawHeaders: readonly string[]): boolean {
+  return rawHeaders.some((name, at) => at % 2 === 0 && FRAMING_HEADERS.has(name.toLowerCase()));
+}
 
 export default class EndpointConnection {
   readonly #client: Client;
@@ -81,7 +88,8 @@
         responseHeaders: 'raw',
       });
       const rawHeaders = response.headers as unknown as readonly string[];
-      return ok({ status: response.statusCode, rawHeaders, body: this.#readBody(response.body) });
+      const body = this.#readBody(response.body, isFramed(rawHeaders));
+      return ok({ status: response.statusCode, rawHeaders, body });
     } catch (error) {
       const detail = (error as Error).message;
       return err({ kind: this.#socket === undefined ? 'unsent' : 'broken', detail });
@@ -93,11 +101,14 @@
     void this.#client.destroy();
   }
 
-  async *#readBody(body: Dispatcher.ResponseData['body']): AsyncGenerator<Buffer, void, undefined> {
+  async *#readBody(
+    body: Dispatcher.ResponseData['body'],
+    framed: boolean,
+  ): AsyncGenerator<Buffer, void, undefined> {
     for await (const chunk of body) {
       yield chunk as Buffer;
     }
-    if (this.#wasReset) {
+    if (!framed && this.#wasReset) {
       throw new Error('the connection was reset');
     }
   }
@@ -121,8 +132,8 @@
     socket.once('connect', () => {
       clearTimeout(timer);
       socket.removeListener('error', fail);
-      socket.on('error', () => {
-        this.#wasReset = true;
+      socket.on('error', (error: NodeJS.ErrnoException) => {
+        this.#wasReset ||= error.code === RESET;
       });
       socket.once('close', () => {
         this.#isClosed = true;
--- a/packages/rhubarbcroft/src/instances/InstanceState.ts
+++ b/packages/rhubarbcroft/src/instances/InstanceState.ts
@@ -29,6 +29,8 @@
 
   #inFlight = 0;
 
+  #lost = new AbortController();
+
   /** When the generations that peers have sent are thought to end. */
   #foreignEndsAtMs: readonly number[] = [];
 
@@ -46,6 +48,18 @@
     return this.#instance;
   }
 
+  /** Aborts when the instance turns out to be unreachable, so that nothing waits there in vain. */
+  get lost(): AbortSignal {
+    return this.#lost.signal;
+  }
+
+  noteUnreachable(nowMs: number): void {
+    this.health.recordUnreachable(nowMs);
+    this.#lost.abort(new Error('the endpoint has become unreachable'));
+    this.#lost = new AbortController();
+    this.pool.clear();
+  }
+
   get inFlight(): number {
     return this.#inFlight;
   }
