--- a/packages/rhubarbcroft/src/callers/HttpListener.ts
+++ b/packages/rhubarbcroft/src/callers/HttpListener.ts
@@ -16,6 +16,11 @@
 import type ExchangeServer from './ExchangeServer.js';
 import HttpConnection from './HttpConnection.js';
 
+interface ListenerTimeouts {
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
 interface HttpListenerOptions {
   readonly name: string;
   readonly address: string;
@@ -26,12 +31,18 @@
   readonly frontEnd: ExchangeServer;
   readonly supervisor: Supervisor;
   readonly clock: Clock;
+  /** How long a head may take and a connection stay idle, now; the usual bounds without it. */
+  readonly readTimeouts?: () => ListenerTimeouts | undefined;
   /** The certificate for TLS; plain HTTP without it. */
   readonly certificates: CertificateWatch | undefined;
 }
 
 const HEADERS_TIMEOUT_MS = 10_000;
 const IDLE_CONNECTION_MS = 60_000;
+/** How often slow heads are looked for, a fraction of the time that they may take. */
+const CHECK_PERIOD_MS = 1_000;
+/** Connections that wait to be accepted: a fleet's callers that open theirs at once. */
+const BACKLOG = 4_096;
 const HEADER_OVERFLOW = 'HPE_HEADER_OVERFLOW';
 
 function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
@@ -82,6 +93,7 @@
       headersTimeout: HEADERS_TIMEOUT_MS,
       keepAliveTimeout: IDLE_CONNECTION_MS,
       requestTimeout: 0,
+      connectionsCheckingInterval: CHECK_PERIOD_MS,
     };
     if (certificates === undefined) {
       const server = new PlainServer(limits);
@@ -105,10 +117,15 @@
   }
 
   #accept(server: PlainServer | TlsServer, connected: 'connection' | 'secureConnection'): void {
-    const { frontEnd, supervisor } = this.#options;
+    const { frontEnd, supervisor, readTimeouts } = this.#options;
     const connections = new WeakMap<Socket, HttpConnection>();
     server.on(connected, (socket: Socket) => {
       socket.setNoDelay(true);
+      const timeouts = readTimeouts?.();
+      Object.assign(server, {
+        headersTimeout: timeouts?.headerTimeoutMs ?? HEADERS_TIMEOUT_MS,
+        keepAliveTimeout: timeouts?.idleTimeoutMs ?? IDLE_CONNECTION_MS,
+      });
       const connection = new HttpConnection(socket, frontEnd);
       connections.set(socket, connection);
       if (!supervisor.spawn(connection)) {
@@ -123,7 +140,7 @@
 
   async #listen(server: PlainServer | TlsServer): Promise<void> {
     const [host, port] = this.#options.address.split(':');
-    server.listen(Number(port), host);
+    server.listen({ port: Number(port), host, backlog: BACKLOG });
     await once(server, 'listening');
   }
 }
--- a/packages/rhubarbcroft/src/forwarding/ForwardContext.ts
+++ b/packages/rhubarbcroft/src/forwarding/ForwardContext.ts
@@ -7,6 +7,7 @@
 import type InstanceRegistry from '../instances/InstanceRegistry.js';
 import type RoutingHolder from '../routes/RoutingHolder.js';
 import type Clock from '../supervision/Clock.js';
+import type Metrics from '../telemetry/Metrics.js';
 import type EndpointProtocol from './EndpointProtocol.js';
 
 interface ForwardContext {
@@ -18,6 +19,7 @@
   readonly speeds: EngineSpeeds;
   /** Tells the peers of a prompt that was sent to an engine. */
   readonly noteSent: (notice: SendNotice) => void;
+  readonly metrics: Metrics;
   readonly clock: Clock;
   readonly log: Logger;
 }
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -131,7 +131,10 @@
   /** How long to wait for the first sign of an answer before another attempt is worth more. */
   #findPatienceMs({ route }: ForwardRequest, placement: Placement): number {
     const targets = route.kind === 'stream' ? STREAM_PATIENCE_TARGETS : 1;
-    return Math.max(route.targetLatencyMs * targets, placement.expectedMs * STREAM_PATIENCE_TARGETS);
+    return Math.max(
+      route.targetLatencyMs * targets,
+      placement.expectedMs * STREAM_PATIENCE_TARGETS,
+    );
   }
 
   #mayFollow(request: ForwardRequest, progress: Progress, signal: AbortSignal): boolean {
@@ -152,7 +155,7 @@
     result: AttemptResult,
     { sends }: Progress,
   ): void {
-    const { log, clock } = this.#options.context;
+    const { log, clock, metrics } = this.#options.context;
     const fields = {
       requestId: request.id,
       route: request.route.name,
@@ -163,6 +166,10 @@
       sends,
       tookMs: Math.round(clock.nowMs() - request.arrivedAtMs),
     };
+    metrics.increment('attempts', {
+      service: request.service,
+      result: result.type === 'failed' ? result.failure.kind : result.type,
+    });
     if (result.type === 'failed') {
       const { kind, detail } = result.failure;
       log.info({ ...fields, kind, detail, ran: result.ran }, 'attempt failed');
--- a/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
+++ b/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
@@ -83,9 +83,11 @@
     clearTimeout(timer);
     signal.removeEventListener('abort', leave);
     if (signal.aborted) {
-      context.log.debug({ requestId: request.id }, 'the caller left');
+      this.#count(request, 'left');
+      context.log.info({ requestId: request.id }, 'the caller left');
       return;
     }
+    this.#count(request, served.isErr ? 'failed' : 'answered');
     if (served.isErr) {
       this.#refuse(exchange, served.error, request.arrivedAtMs, relay);
     } else if (served.value.answer === undefined) {
@@ -112,6 +114,10 @@
         createFailure('CONFIGURATION_ABSENT', 'just started', 'not_run', STARTING_RETRY_MS),
       );
     }
+    const headerBytes = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
+    if (headerBytes > table.document.limits.maxHeaderBytes) {
+      return err(createFailure('HEADER_TOO_LARGE', `${headerBytes} bytes`));
+    }
     const path = request.url ?? '/';
     const route = table.findRoute(request.headers.host ?? '', path.split('?', 1)[0]);
     if (route === undefined) {
@@ -162,6 +168,13 @@
     return (chosen ?? destinations[0]).service;
   }
 
+  #count({ route, arrivedAtMs }: ForwardRequest, outcome: 'answered' | 'failed' | 'left'): void {
+    const { metrics, clock } = this.#options.context;
+    const tags = { kind: route.kind, rank: String(route.rank), outcome };
+    metrics.increment('requests', tags);
+    metrics.timing('request', clock.nowMs() - arrivedAtMs, tags);
+  }
+
   #announceClose(response: ServerResponse): void {
     const { shutdown } = this.#options;
     if (shutdown.aborted && !response.headersSent) {
@@ -192,9 +205,10 @@
     arrivedAtMs: number,
     relay?: StreamRelay,
   ): void {
-    const { log, clock } = this.#options.context;
+    const { log, clock, metrics } = this.#options.context;
     const { code, detail, ran, retryAfterMs } = failure;
     const waitedMs = Math.round(clock.nowMs() - arrivedAtMs);
+    metrics.increment('refused', { code, ran });
     log.info({ requestId, code, detail, ran, retryAfterMs, waitedMs }, 'refused');
     if (relay?.hasBegun === true || response.headersSent) {
       response.destroy();
--- a/packages/rhubarbcroft/src/gateway/GatewaySettings.ts
+++ b/packages/rhubarbcroft/src/gateway/GatewaySettings.ts
@@ -9,6 +9,7 @@
   readonly peerAddress: string;
   /** Peers to ask before the store has told of others; they may be stale or down. */
   readonly seedPeers: readonly string[];
+  readonly metricsAddress: string;
   readonly storeUrl: string;
   /** From the signal to stop until the process is killed. */
   readonly shutdownGraceMs: number;
--- /dev/null
+++ b/packages/rhubarbcroft/src/gateway/MetricsServer.ts
@@ -0,0 +1,23 @@
+/** Serves the process's metrics as text. */
+import type Exchange from '../callers/Exchange.js';
+import ExchangeServer from '../callers/ExchangeServer.js';
+import type PrometheusMetrics from '../telemetry/PrometheusMetrics.js';
+
+export default class MetricsServer extends ExchangeServer {
+  readonly #metrics: PrometheusMetrics;
+
+  constructor(metrics: PrometheusMetrics) {
+    super();
+    this.#metrics = metrics;
+  }
+
+  override async serve({ request, response }: Exchange): Promise<void> {
+    request.resume();
+    const text = await this.#metrics.render();
+    response.writeHead(200, {
+      'content-type': 'text/plain; version=0.0.4',
+      'content-length': Buffer.byteLength(text),
+    });
+    response.end(text);
+  }
+}
--- a/packages/rhubarbcroft/src/gateway/createGateway.ts
+++ b/packages/rhubarbcroft/src/gateway/createGateway.ts
@@ -30,8 +30,10 @@
 import RoutingHolder from '../routes/RoutingHolder.js';
 import Supervisor from '../supervision/Supervisor.js';
 import SystemClock from '../supervision/SystemClock.js';
+import PrometheusMetrics from '../telemetry/PrometheusMetrics.js';
 import type GatewaySettings from './GatewaySettings.js';
 import type GatewaySources from './GatewaySources.js';
+import MetricsServer from './MetricsServer.js';
 import ReadinessServer from './ReadinessServer.js';
 
 interface GatewayOptions {
@@ -46,7 +48,7 @@
 /** How long the listener goes on accepting: two probes of the balancer, a second apart, and their answers. */
 const LAME_DUCK_MS = 3_000;
 /** The largest head that the parser takes; the operator's own limit is lower. */
-const MAX_HEADER_BYTES = 65_536;
+const LISTEN_DEFAULTS = { maxHeaderBytes: 65_536, certificates: undefined };
 const MAX_PROBE_CONNECTIONS = 64;
 /** Before a node has heard of the others it takes itself for one of this many, as each user has today. */
 const MIN_NODES = 8;
@@ -93,6 +95,7 @@
   { settings, sources, log }: GatewayOptions,
   { routing, registry, base }: Known,
   notifier: SendNotifier,
+  metrics: PrometheusMetrics,
   clock: SystemClock,
 ): ForwardContext {
   return {
@@ -107,66 +110,94 @@
       countNodes: () => Math.max(MIN_NODES, base.nodes.length + 1),
     }),
     speeds: new EngineSpeeds(),
+    metrics,
     noteSent: (notice) => notifier.add(notice),
     clock,
     log,
   };
 }
 
-export default function createGateway(options: GatewayOptions): Supervisor {
-  const { settings, sources, log, shutdown } = options;
-  const clock = new SystemClock();
-  const known = createKnown(options, clock);
-  const { readers, base } = known;
-  const peers = new Supervisor('peers', clock, log);
-  const notifier = new SendNotifier(base, peers, clock);
-  const context = createContext(options, known, notifier, clock);
+/** The listeners that the balancer and the operators' metrics reader call. */
+function planProbes(
+  { settings, log, shutdown }: GatewayOptions,
+  { base }: Known,
+  metrics: PrometheusMetrics,
+  clock: SystemClock,
+): Supervisor {
+  const supervisor = new Supervisor('probes', clock, log);
+  const listen = {
+    ...LISTEN_DEFAULTS,
+    clock,
+    supervisor,
+    maxConnections: MAX_PROBE_CONNECTIONS,
+    lameDuckMs: 0,
+  };
+  return supervisor.plan(
+    new HttpListener({
+      ...listen,
+      name: 'readiness-listener',
+      address: settings.readinessAddress,
+      frontEnd: new ReadinessServer(() => base.isComplete && !shutdown.aborted),
+    }),
+    new HttpListener({
+      ...listen,
+      name: 'metrics-listener',
+      address: settings.metricsAddress,
+      frontEnd: new MetricsServer(metrics),
+    }),
+  );
+}
+
+/** The callers' listener, with a task for each connection. */
+function planCallers(
+  { settings, log, shutdown }: GatewayOptions,
+  { routing }: Known,
+  context: ForwardContext,
+  clock: SystemClock,
+): Supervisor {
+  const supervisor = new Supervisor('callers', clock, log);
+  const placement = new CostPromptPlacement(settings, context.speeds, () =>
+    readFleetTransferMs(routing),
+  );
   const forwarder = new Forwarder({
     context,
-    engines: new EngineChooser(
-      context,
-      new CostPromptPlacement(settings, context.speeds, () => readFleetTransferMs(known.routing)),
-    ),
+    engines: new EngineChooser(context, placement),
     services: new ServiceChooser(context),
   });
-  const callers = new Supervisor('callers', clock, log);
-  const probes = new Supervisor('readiness', clock, log);
-  const isReady = (): boolean => base.isComplete && !shutdown.aborted;
-  const listen = { maxHeaderBytes: MAX_HEADER_BYTES, clock, certificates: undefined };
+  const random = xoroshiro128plus(process.pid);
+  return supervisor.plan(
+    new HttpListener({
+      ...LISTEN_DEFAULTS,
+      clock,
+      supervisor,
+      name: 'caller-listener',
+      address: settings.callerAddress,
+      maxConnections: settings.maxConnections,
+      lameDuckMs: LAME_DUCK_MS,
+      readTimeouts: () => routing.current?.document.limits,
+      frontEnd: new ForwardingFrontEnd({ context, forwarder, random, shutdown }),
+    }),
+  );
+}
+
+export default function createGateway(options: GatewayOptions): Supervisor {
+  const { settings, sources, log } = options;
+  const clock = new SystemClock();
+  const known = createKnown(options, clock);
+  const peers = new Supervisor('peers', clock, log);
+  const notifier = new SendNotifier(known.base, peers, clock);
+  const metrics = new PrometheusMetrics();
+  const context = createContext(options, known, notifier, metrics, clock);
+  const { peerAddress } = settings;
   return new Supervisor('root', clock, log).plan(
-    new Supervisor('discovery', clock, log).plan(...readers),
+    new Supervisor('discovery', clock, log).plan(...known.readers),
     peers.plan(
-      new KnowledgeListener(settings.peerAddress, base, peers, log),
+      new KnowledgeListener(peerAddress, known.base, peers, log),
       notifier,
-      new KnowledgeSeeker(base, clock, log),
-      new NodeAnnouncer(sources.nodes, base, { address: settings.peerAddress, clock, log }),
-    ),
-    probes.plan(
-      new HttpListener({
-        ...listen,
-        name: 'readiness-listener',
-        address: settings.readinessAddress,
-        maxConnections: MAX_PROBE_CONNECTIONS,
-        lameDuckMs: 0,
-        frontEnd: new ReadinessServer(isReady),
-        supervisor: probes,
-      }),
-    ),
-    callers.plan(
-      new HttpListener({
-        ...listen,
-        name: 'caller-listener',
-        address: settings.callerAddress,
-        maxConnections: settings.maxConnections,
-        lameDuckMs: LAME_DUCK_MS,
-        frontEnd: new ForwardingFrontEnd({
-          context,
-          forwarder,
-          random: xoroshiro128plus(process.pid),
-          shutdown,
-        }),
-        supervisor: callers,
-      }),
+      new KnowledgeSeeker(known.base, clock, log),
+      new NodeAnnouncer(sources.nodes, known.base, { address: peerAddress, clock, log }),
     ),
+    planProbes(options, known, metrics, clock),
+    planCallers(options, known, context, clock),
   );
 }
