--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -30,6 +30,8 @@
   readonly runs: number;
   readonly ran: RunState;
   readonly last: AttemptResult | undefined;
+  /** An endpoint's failure that is passed on if no later attempt does better. */
+  readonly held: HeldAnswer | undefined;
 }
 
 interface Served {
@@ -71,6 +73,7 @@
       ran: 'not_run',
       failedIds: new Set(),
       last: undefined,
+      held: undefined,
     };
     let placement = this.#choose(request, progress);
     const hopeless = placement && this.#refuseHopeless(request, placement);
@@ -187,11 +190,12 @@
       ran: mayHaveRun ? 'unknown' : progress.ran,
       failedIds: new Set([...progress.failedIds, placement.target.instance.id]),
       last: result,
+      held: result.type === 'held' ? result.answer : progress.held,
     };
   }
 
   static #conclude(
-    { last, sends, ran }: Progress,
+    { last, held, sends, ran }: Progress,
     placement: Placement | undefined,
     signal: AbortSignal,
   ): Result<Served, Failure> {
@@ -199,10 +203,10 @@
     if (last?.type === 'streamed') {
       return ok({ answer: undefined, sends, instanceId });
     }
-    if (last?.type === 'held') {
-      return ok({ answer: last.answer, sends, instanceId });
+    if (held !== undefined) {
+      return ok({ answer: held, sends, instanceId });
     }
-    if (last === undefined) {
+    if (last === undefined || last.type === 'held') {
       return err(createFailure('NO_ENDPOINT', 'none is known', 'not_run', RETRY_AFTER_MS));
     }
     const { detail } = last.failure;
--- /dev/null
+++ b/test/discovery/discovery.test.ts
@@ -0,0 +1,205 @@
+/** What is believed of instances and configurations through late, lost, foreign and vanished rows. */
+import bunyan from 'bunyan';
+import { expect } from 'chai';
+import { err, ok } from 'true-myth/result';
+import type Result from 'true-myth/result';
+import type Failure from '@rhubarbcroft/protocol/results/Failure';
+import createFailure from '@rhubarbcroft/protocol/results/createFailure';
+import ChangeFeed from 'rhubarbcroft/discovery/ChangeFeed';
+import type FeedPage from 'rhubarbcroft/discovery/FeedPage';
+import FeedReader from 'rhubarbcroft/discovery/FeedReader';
+import type Instance from 'rhubarbcroft/instances/Instance';
+import InstanceRegistry from 'rhubarbcroft/instances/InstanceRegistry';
+import type RoutingDocument from 'rhubarbcroft/routes/RoutingDocument';
+import RoutingHolder from 'rhubarbcroft/routes/RoutingHolder';
+import RoutingTable from 'rhubarbcroft/routes/RoutingTable';
+import ManualClock from '../support/ManualClock.js';
+
+const log = bunyan.createLogger({ name: 'test', streams: [] });
+
+function instance(id: string, options: Partial<Instance> = {}): Instance {
+  return {
+    id,
+    service: 's',
+    address: '127.0.0.1:1',
+    domain: 'a',
+    slots: 4,
+    isLeaving: false,
+    stage: undefined,
+    coldRemainingMs: 0,
+    startedAtMs: 1_000,
+    sequence: 1,
+    ...options,
+  };
+}
+
+function page(version: number, ...instances: readonly Instance[]): FeedPage<Instance> {
+  return { version, rows: instances.map((value) => ({ key: value.id, version, value })) };
+}
+
+function removal(version: number, key: string): FeedPage<Instance> {
+  return { version, rows: [{ key, version, value: undefined }] };
+}
+
+describe('the registry of instances', () => {
+  let clock: ManualClock;
+  let registry: InstanceRegistry;
+  const listIds = (): readonly string[] =>
+    registry.listAvailable('s').map((state) => state.instance.id);
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    const routing = new RoutingHolder();
+    registry = new InstanceRegistry({ routing, clock, log, connectTimeoutMs: 100 });
+    registry.replaceAll(page(10, instance('a'), instance('b')));
+  });
+
+  it('drops at once what leaves or is removed while the store is well', () => {
+    registry.applyChanges(page(11, instance('a', { isLeaving: true, sequence: 2 })));
+    registry.applyChanges(removal(12, 'b'));
+    expect(listIds()).to.deep.equal([]);
+  });
+
+  it('keeps what vanished in an outage until it is still missing some seconds after', async () => {
+    registry.noteOutage();
+    registry.applyChanges(removal(11, 'a'));
+    registry.noteReturn();
+    registry.applyChanges(removal(12, 'b'));
+    const during = listIds();
+    registry.applyChanges(page(13, instance('b', { sequence: 5 })));
+    await clock.sleep(2_600);
+    expect([during, listIds()]).to.deep.equal([['a', 'b'], ['b']]);
+  });
+
+  it('believes a peer that hears from the store, and doubts one that does not', () => {
+    registry.noteOutage();
+    registry.adopt(page(11, instance('a', { sequence: 3 })), false);
+    const doubted = listIds();
+    registry.adopt(page(12, instance('a', { sequence: 3 })), true);
+    expect([doubted, listIds()]).to.deep.equal([['a', 'b'], ['a']]);
+  });
+
+  it('passes over late writes of an earlier run or an earlier statement', () => {
+    registry.applyChanges(page(11, instance('a', { isLeaving: true, sequence: 5 })));
+    registry.applyChanges(page(12, instance('a', { sequence: 4 })));
+    registry.applyChanges(page(13, instance('a', { sequence: 9, startedAtMs: 500 })));
+    expect(listIds()).to.deep.equal(['b']);
+  });
+
+  it('takes a new run under the old id for another instance', () => {
+    const before = registry.find('a');
+    registry.applyChanges(page(11, instance('a', { startedAtMs: 2_000, sequence: 0 })));
+    expect([listIds(), registry.find('a') === before]).to.deep.equal([['b', 'a'].sort(), false]);
+  });
+
+  it('never takes an older listing for a newer one', () => {
+    registry.replaceAll(page(9));
+    registry.adopt(page(8), true);
+    expect(listIds()).to.deep.equal(['a', 'b']);
+  });
+});
+
+class ScriptedFeed extends ChangeFeed<string> {
+  override readonly name = 'scripted';
+
+  readonly calls: string[] = [];
+
+  readonly #answers: (Result<FeedPage<string> | 'expired', Failure> | 'hang')[];
+
+  constructor(...answers: (Result<FeedPage<string> | 'expired', Failure> | 'hang')[]) {
+    super();
+    this.#answers = answers;
+  }
+
+  override async list(): Promise<Result<FeedPage<string>, Failure>> {
+    return this.#next('list') as Promise<Result<FeedPage<string>, Failure>>;
+  }
+
+  override async waitForChanges(
+    afterVersion: number,
+    signal: AbortSignal,
+  ): Promise<Result<FeedPage<string> | 'expired', Failure>> {
+    return this.#next(`after ${afterVersion}`, signal);
+  }
+
+  async #next(
+    call: string,
+    signal?: AbortSignal,
+  ): Promise<Result<FeedPage<string> | 'expired', Failure>> {
+    this.calls.push(call);
+    const answer = this.#answers.shift() ?? 'hang';
+    if (answer === 'hang') {
+      await new Promise((resolve) => {
+        signal?.addEventListener('abort', resolve, { once: true });
+      });
+      return err(createFailure('PLATFORM_ANSWER_LOST', 'stopped'));
+    }
+    return answer;
+  }
+}
+
+describe('the reader of a feed', () => {
+  it('goes on after a failure, and lists anew only when the history is gone', async () => {
+    const lost = err(createFailure('PLATFORM_ANSWER_LOST', 'cut'));
+    const at = (version: number): Result<FeedPage<string>, Failure> => ok({ version, rows: [] });
+    const feed = new ScriptedFeed(lost, at(5), at(6), lost, at(8), ok('expired'), at(9));
+    const events: string[] = [];
+    const consumer = {
+      replaceAll: ({ version }: FeedPage<string>): unknown => events.push(`all ${version}`),
+      applyChanges: ({ version }: FeedPage<string>): unknown => events.push(`changes ${version}`),
+      noteOutage: (): unknown => events.push('outage'),
+      noteReturn: (): unknown => events.push('return'),
+    };
+    const stop = new AbortController();
+    const reader = new FeedReader(feed, consumer as never, new ManualClock(), log);
+    const running = reader.run(stop.signal);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+    stop.abort();
+    await running;
+    expect({ calls: feed.calls, events }).toMatchSnapshot();
+  });
+});
+
+function createDocument(version: number, prefixes: readonly string[]): RoutingDocument {
+  return {
+    version,
+    services: [],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    routes: prefixes.map((prefix) => ({
+      name: prefix,
+      host: 'Shop.example',
+      prefix,
+      kind: 'idempotent',
+      destinations: [{ service: 's', weight: 1 }],
+      timeoutMs: 1,
+      targetLatencyMs: 1,
+      maxAttempts: 1,
+      rank: 0,
+      resumable: false,
+      hasPrompts: false,
+      maxEventGapMs: 1,
+    })),
+  };
+}
+
+describe('routing documents', () => {
+  it('send a request to the longest prefix of its host', () => {
+    const table = new RoutingTable(createDocument(1, ['/a/', '/a/b/', '/']));
+    const find = (host: string, path: string): string | undefined =>
+      table.findRoute(host, path)?.name;
+    expect([
+      find('shop.example', '/a/b/c'),
+      find('SHOP.example', '/a/bc'),
+      find('shop.example', '/a'),
+      find('other.example', '/a/'),
+    ]).to.deep.equal(['/a/b/', '/a/', '/', undefined]);
+  });
+
+  it('never go back to an older version', () => {
+    const holder = new RoutingHolder();
+    const accepted = [3, 2, 3, 7].map((version) => holder.accept(createDocument(version, [])));
+    expect([accepted, holder.version]).to.deep.equal([[true, false, false, true], 7]);
+  });
+});
--- /dev/null
+++ b/test/placement/placement.test.ts
@@ -0,0 +1,207 @@
+/** Where prompts go: by wait, cache, distance and what is generated there already. */
+import { expect } from 'chai';
+import CostPromptPlacement from 'rhubarbcroft/decisions/placement/CostPromptPlacement';
+import type EngineCandidate from 'rhubarbcroft/decisions/placement/EngineCandidate';
+import EngineSpeeds from 'rhubarbcroft/decisions/placement/EngineSpeeds';
+import KvCacheModel from 'rhubarbcroft/decisions/placement/KvCacheModel';
+import PrefillQueue from 'rhubarbcroft/decisions/placement/PrefillQueue';
+import type Prompt from 'rhubarbcroft/decisions/placement/Prompt';
+import chooseHome from 'rhubarbcroft/decisions/placement/chooseHome';
+import chooseServiceEndpoint from 'rhubarbcroft/decisions/placement/chooseServiceEndpoint';
+
+const PLACE = { domain: 'a', regionsByDomain: { a: 'ra', b: 'rb', c: 'rb' } };
+const AUDIT: Prompt = {
+  model: 'm',
+  promptTokens: 17_000,
+  outputTokens: 100,
+  parts: [
+    { id: 'ledger', tokens: 13_300 },
+    { id: 'own', tokens: 3_700 },
+  ],
+  bodyBytes: 17_000,
+};
+const LOOKUP: Prompt = {
+  model: 'm',
+  promptTokens: 1_460,
+  outputTokens: 170,
+  parts: [
+    { id: 'catalogue', tokens: 350 },
+    { id: 'own', tokens: 1_110 },
+  ],
+  bodyBytes: 1_500,
+};
+
+function engine(id: string, options: Partial<EngineCandidate> = {}): EngineCandidate {
+  return {
+    id,
+    domain: 'a',
+    stage: 'decode',
+    slots: 64,
+    running: 2,
+    waitMs: 0,
+    prefillingMs: 0,
+    cachedTokens: 0,
+    failureShare: 0,
+    ...options,
+  };
+}
+
+function choose(prompt: Prompt, ...candidates: readonly EngineCandidate[]): string {
+  const placement = new CostPromptPlacement(PLACE, new EngineSpeeds(), () => 0.0004);
+  const plan = placement.choose(prompt, candidates);
+  return plan === undefined ? 'none' : `${plan.prefillId ?? 'whole'} > ${plan.engineId}`;
+}
+
+describe('the placement of prompts', () => {
+  const prefill = engine('p', { stage: 'prefill' });
+  const decode = engine('d');
+
+  it('weighs waits, caches, distance and streams that run beside', () => {
+    const held = { cachedTokens: 13_300 };
+    expect({
+      'a long prompt that nobody holds': choose(AUDIT, prefill, decode),
+      'a short prompt': choose(LOOKUP, prefill, decode),
+      'held by the prefill engine': choose(AUDIT, { ...prefill, ...held }, decode),
+      'held by the decode engine': choose(AUDIT, prefill, { ...decode, ...held }),
+      'held far away': choose(AUDIT, prefill, decode, engine('far', { domain: 'b', ...held })),
+      'held far away, short': choose(
+        LOOKUP,
+        decode,
+        engine('far', { domain: 'b', cachedTokens: 350 }),
+      ),
+      'held behind a long queue': choose(
+        AUDIT,
+        prefill,
+        engine('d', { ...held, waitMs: 2_000, prefillingMs: 2_000 }),
+        engine('e'),
+      ),
+      'held behind a short queue': choose(
+        AUDIT,
+        prefill,
+        engine('d', { ...held, waitMs: 50, prefillingMs: 50 }),
+        engine('e'),
+      ),
+      'many streams beside': choose(LOOKUP, prefill, engine('d', { running: 60 }), engine('e')),
+      'one that fails half of its requests': choose(
+        LOOKUP,
+        engine('d', { failureShare: 0.5 }),
+        engine('e'),
+      ),
+      'no free slot': choose(LOOKUP, engine('d', { running: 64 }), engine('e', { running: 30 })),
+      'only prefill engines': choose(AUDIT, prefill),
+    }).toMatchSnapshot();
+  });
+
+  it('hands over inside the domain of the prefill engine', () => {
+    const far = { domain: 'b' };
+    const held = engine('p', { stage: 'prefill', ...far, cachedTokens: 13_300 });
+    expect(choose(AUDIT, held, engine('near'), engine('beside', far))).to.equal('p > beside');
+  });
+
+  it('keeps short answers from waiting while others prefill', () => {
+    const busy = engine('d', { waitMs: 400, prefillingMs: 400 });
+    expect(choose(LOOKUP, prefill, busy, engine('e', { running: 10 }))).to.match(/> e$/);
+  });
+});
+
+describe('the queue of an engine', () => {
+  it('is worked off by time, most urgent first, and corrected by ends', () => {
+    const queue = new PrefillQueue();
+    queue.add({ attemptId: undefined, rank: 2, sentAtMs: 0, costMs: 300 });
+    queue.add({ attemptId: 'own', rank: 0, sentAtMs: 10, costMs: 100 });
+    queue.add({ attemptId: undefined, rank: 0, sentAtMs: 20, costMs: 50 });
+    const seen = [
+      queue.readWaitMs(0, 20),
+      queue.readWaitMs(2, 20),
+      queue.readWaitMs(0, 60),
+      queue.readWaitMs(0, 1_000),
+    ];
+    queue.complete('own', 1_000);
+    expect([...seen, queue.readWaitMs(2, 1_000)]).to.deep.equal([140, 430, 100, 25, 0]);
+  });
+
+  it('keeps what is overdue, and drops what was given up', () => {
+    const queue = new PrefillQueue();
+    queue.add({ attemptId: 'own', rank: 0, sentAtMs: 0, costMs: 100 });
+    const overdueMs = queue.readWaitMs(0, 10_000);
+    queue.drop('own');
+    expect([overdueMs, queue.readWaitMs(0, 10_000)]).to.deep.equal([25, 0]);
+  });
+});
+
+describe('the model of an engine’s cache', () => {
+  it('holds the latest parts, counts only from the start, and stays within its memory', () => {
+    const cache = new KvCacheModel(1_000);
+    cache.touch([
+      { id: 'a', tokens: 300 },
+      { id: 'b', tokens: 300 },
+    ]);
+    const whole = cache.countCached([
+      { id: 'a', tokens: 300 },
+      { id: 'b', tokens: 300 },
+      { id: 'c', tokens: 9 },
+    ]);
+    const headless = cache.countCached([
+      { id: 'x', tokens: 1 },
+      { id: 'a', tokens: 300 },
+    ]);
+    cache.touch([{ id: 'd', tokens: 300 }]);
+    expect([whole, headless, cache.countCached([{ id: 'a', tokens: 300 }])]).to.deep.equal([
+      600, 0, 0,
+    ]);
+  });
+});
+
+describe('homes of shared parts', () => {
+  const engines = Array.from({ length: 13 }, (_unused, at) => ({
+    id: `i-${at}`,
+    weight: at < 5 ? 1 : 0.25,
+  }));
+  const keys = Array.from({ length: 2_000 }, (_unused, at) => `part-${at}`);
+
+  it('do not depend on the order, and move only from an engine that goes', () => {
+    const before = keys.map((key) => chooseHome(key, engines));
+    const shuffled = keys.map((key) => chooseHome(key, [...engines].reverse()));
+    const after = keys.map((key) => chooseHome(key, engines.slice(1)));
+    const moved = keys.filter((_key, at) => before[at] !== after[at]);
+    expect(shuffled).to.deep.equal(before);
+    expect(moved.length).to.equal(before.filter((home) => home === 'i-0').length);
+  });
+
+  it('are shared out by weight', () => {
+    const heavy = keys.filter((key) => Number(chooseHome(key, engines)?.slice(2)) < 5).length;
+    expect(heavy / keys.length).to.be.closeTo(5 / 7, 0.05);
+  });
+});
+
+describe('the speed of engines', () => {
+  it('is learnt apart from the latency, and not from what waited', () => {
+    const speeds = new EngineSpeeds();
+    for (let at = 0; at < 100; at += 1) {
+      speeds.record(5, 65);
+      const modelMs = speeds.estimatePrefillMs('prefill', 6_000, 0);
+      speeds.record(modelMs, 60 + 107 * 0.8 * (at % 4 === 0 ? 5 : 1));
+    }
+    expect(speeds.latencyMs).to.be.closeTo(60, 2);
+    expect(speeds.estimatePrefillMs('prefill', 6_000, 0)).to.be.closeTo(107 * 0.8, 25);
+  });
+});
+
+describe('the placement of plain calls', () => {
+  it('stays near until near ones are nearly full, and avoids what fails', () => {
+    const near = { id: 'near', distance: 'domain' as const, slots: 6, running: 2, failureShare: 0 };
+    const far = {
+      id: 'far',
+      distance: 'elsewhere' as const,
+      slots: 6,
+      running: 0,
+      failureShare: 0,
+    };
+    expect([
+      chooseServiceEndpoint([near, far])?.id,
+      chooseServiceEndpoint([{ ...near, running: 6 }, far])?.id,
+      chooseServiceEndpoint([{ ...near, failureShare: 0.3 }, far])?.id,
+      chooseServiceEndpoint([]),
+    ]).to.deep.equal(['near', 'far', 'far', undefined]);
+  });
+});
--- /dev/null
+++ b/test/platform/standins/StoreStandin.ts
@@ -0,0 +1,150 @@
+/** The platform's store in the memory of a test, over its published calls: rows, listings and feeds. */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { once } from 'node:events';
+
+interface StoredRow {
+  readonly table: string;
+  readonly key: string;
+  readonly value?: string;
+  readonly ver: number;
+  readonly tombstone?: boolean;
+}
+
+type Trouble = 'none' | 'busy' | 'reset' | 'silent';
+
+async function readJson(request: IncomingMessage): Promise<Record<string, unknown>> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) {
+    chunks.push(chunk as Buffer);
+  }
+  return JSON.parse(Buffer.concat(chunks).toString('utf8')) as Record<string, unknown>;
+}
+
+export default class StoreStandin {
+  readonly #rows = new Map<string, StoredRow>();
+
+  readonly #server: Server;
+
+  #ver = 1;
+
+  #oldest = 0;
+
+  #trouble: Trouble = 'none';
+
+  #waiting: (() => void)[] = [];
+
+  readonly calls: string[] = [];
+
+  constructor() {
+    this.#server = createServer((request, response) => {
+      void this.#answer(request, response);
+    });
+  }
+
+  async start(): Promise<void> {
+    this.#server.listen(0, '127.0.0.1');
+    await once(this.#server, 'listening');
+  }
+
+  get url(): string {
+    return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  /** Lets the store turn its callers away, or fall silent, also on calls that wait. */
+  setTrouble(trouble: Trouble): void {
+    this.#trouble = trouble;
+    if (trouble !== 'none') {
+      this.#server.closeAllConnections();
+    }
+  }
+
+  /** Drops the history, so that feeds from before must list anew. */
+  forgetHistory(): void {
+    this.#ver += 1;
+    this.#oldest = this.#ver;
+    this.#wake();
+  }
+
+  put(table: string, key: string, value: unknown): void {
+    const bytes = typeof value === 'string' ? value : JSON.stringify(value);
+    this.#ver += 1;
+    this.#rows.set(`${table}/${key}`, {
+      table,
+      key,
+      value: Buffer.from(bytes).toString('base64'),
+      ver: this.#ver,
+    });
+    this.#wake();
+  }
+
+  remove(table: string, key: string): void {
+    this.#ver += 1;
+    this.#rows.set(`${table}/${key}`, { table, key, ver: this.#ver, tombstone: true });
+    this.#wake();
+  }
+
+  async stop(): Promise<void> {
+    this.#wake();
+    this.#server.closeAllConnections();
+    this.#server.close();
+    await once(this.#server, 'close');
+  }
+
+  #wake(): void {
+    this.#waiting.forEach((wake) => wake());
+    this.#waiting = [];
+  }
+
+  async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://store');
+    this.calls.push(`${request.method} ${url.pathname}`);
+    if (this.#trouble === 'reset') {
+      request.socket.resetAndDestroy();
+    } else if (this.#trouble === 'busy') {
+      StoreStandin.#send(response, 503, {});
+    } else if (this.#trouble === 'none') {
+      await this.#serve(url, request, response);
+    }
+  }
+
+  async #serve(url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const table = url.searchParams.get('table') ?? '';
+    if (url.pathname === '/api/rows-get') {
+      const rows = [...this.#rows.values()].filter((row) => row.table === table && !row.tombstone);
+      StoreStandin.#send(response, 200, { rows, morePages: false, ver: this.#ver, nowMs: 0 });
+    } else if (url.pathname === '/api/rows-feed') {
+      await this.#feed(table, url, response);
+    } else {
+      const { puts } = (await readJson(request)) as { readonly puts: readonly StoredRow[] };
+      puts.forEach(({ table: name, key, value }) =>
+        this.put(name, key, Buffer.from(value ?? '', 'base64').toString('utf8')),
+      );
+      StoreStandin.#send(response, 200, { ver: this.#ver, nowMs: 0 });
+    }
+  }
+
+  async #feed(table: string, url: URL, response: ServerResponse): Promise<void> {
+    const after = Number(url.searchParams.get('after'));
+    const untilMs = performance.now() + Number(url.searchParams.get('waitMs'));
+    const list = (): readonly StoredRow[] =>
+      [...this.#rows.values()].filter((row) => row.table === table && row.ver > after);
+    while (list().length === 0 && after >= this.#oldest && performance.now() < untilMs) {
+      await new Promise<void>((resolve) => {
+        this.#waiting.push(resolve);
+        setTimeout(resolve, Math.max(1, untilMs - performance.now())).unref();
+      });
+    }
+    if (after < this.#oldest) {
+      StoreStandin.#send(response, 410, {});
+      return;
+    }
+    StoreStandin.#send(response, 200, { rows: list(), ver: this.#ver, nowMs: 0 });
+  }
+
+  static #send(response: ServerResponse, status: number, body: unknown): void {
+    response.writeHead(status, { 'content-type': 'application/json' });
+    response.end(JSON.stringify(body));
+  }
+}
--- /dev/null
+++ b/test/platform/standins/startGateway.ts
@@ -0,0 +1,98 @@
+/** Runs a forwarding node in the process of a test, on the platform's protocol and loopback addresses. */
+import bunyan from 'bunyan';
+import InstanceFeed from '@rhubarbcroft/platform/InstanceFeed';
+import PlatformProtocol from '@rhubarbcroft/platform/PlatformProtocol';
+import RoutingFeed from '@rhubarbcroft/platform/RoutingFeed';
+import StoreNodeList from '@rhubarbcroft/platform/StoreNodeList';
+import createGateway from 'rhubarbcroft/gateway/createGateway';
+import PlatformClient from 'rhubarbcroft/store/PlatformClient';
+import allocatePorts from '@rhubarbcroft/standins/fleet/allocatePorts';
+import sleep from '../../support/sleep.js';
+
+interface Gateway {
+  readonly url: string;
+  readonly readyUrl: string;
+  readonly metricsUrl: string;
+  readonly peerAddress: string;
+  /** The log lines so far, newest last. */
+  readonly lines: readonly Readonly<Record<string, unknown>>[];
+  /** Tells the node to leave, as SIGTERM does; resolves when it has. */
+  readonly stop: () => Promise<void>;
+}
+
+interface GatewayOptions {
+  readonly storeUrl: string;
+  readonly seedPeers?: readonly string[];
+}
+
+const READY_PATIENCE_MS = 5_000;
+/** Closed listeners leave the list of open handles some turns later. */
+const CLOSE_MS = 200;
+
+export default async function startGateway(
+  { storeUrl, seedPeers = [] }: GatewayOptions,
+  waitsUntilReady = true,
+): Promise<Gateway> {
+  const [caller, ready, peer, metrics] = (await allocatePorts(4)).map(
+    (port) => `127.0.0.1:${port}`,
+  );
+  const lines: Readonly<Record<string, unknown>>[] = [];
+  const log = bunyan.createLogger({
+    name: 'test',
+    streams: [
+      { type: 'raw', stream: { write: (line: object) => lines.push({ ...line }) } as never },
+    ],
+  });
+  const store = new PlatformClient(storeUrl, 1_000);
+  const shutdown = new AbortController();
+  const root = createGateway({
+    settings: {
+      nodeId: 'node-1',
+      domain: 'a',
+      regionsByDomain: { a: 'ra', b: 'rb' },
+      callerAddress: caller,
+      readinessAddress: ready,
+      peerAddress: peer,
+      metricsAddress: metrics,
+      seedPeers,
+      storeUrl,
+      shutdownGraceMs: 8_000,
+      retryRatio: 0.2,
+      retryWindowMs: 10_000,
+      retryReserve: 54,
+      maxConnections: 1_000,
+    },
+    sources: {
+      routing: new RoutingFeed(store, log),
+      instances: new InstanceFeed(store, log),
+      nodes: new StoreNodeList(store),
+      protocol: new PlatformProtocol(),
+    },
+    log,
+    shutdown: shutdown.signal,
+  });
+  const running = root.run(shutdown.signal);
+  const readyUrl = `http://${ready}/api/ready`;
+  const untilMs = performance.now() + READY_PATIENCE_MS;
+  let isReady = !waitsUntilReady;
+  while (!isReady && performance.now() < untilMs) {
+    isReady = await fetch(readyUrl).then(
+      ({ status }) => status === 200,
+      () => false,
+    );
+    await sleep(20);
+  }
+  return {
+    url: `http://${caller}`,
+    readyUrl,
+    metricsUrl: `http://${metrics}/metrics`,
+    peerAddress: peer,
+    lines,
+    stop: async () => {
+      shutdown.abort();
+      await running;
+      await store.close();
+      await sleep(CLOSE_MS);
+    },
+  };
+}
