--- a/bench/up.ts
+++ b/bench/up.ts
@@ -15,6 +15,21 @@
 
 Ctrl-C ends it.
 `);
-process.once('SIGINT', () => {
-  void fleet.stop().then(() => process.exit(0));
-});
+/** How soon the fleet ends after the process that started this one, npm or a shell, was killed. */
+const PARENT_CHECK_MS = 500;
+const parentPid = process.ppid;
+let leaving = false;
+
+function leave(): void {
+  if (!leaving) {
+    leaving = true;
+    void fleet.stop().then(() => process.exit(0));
+  }
+}
+
+(['SIGINT', 'SIGTERM', 'SIGHUP'] as const).forEach((signal) => process.on(signal, leave));
+setInterval(() => {
+  if (process.ppid !== parentPid) {
+    leave();
+  }
+}, PARENT_CHECK_MS);
--- /dev/null
+++ b/test/platform/decoding.test.ts
@@ -0,0 +1,204 @@
+/** The platform's names at the boundary: decoded once, checked, and nowhere else in the code. */
+import { readFileSync, readdirSync } from 'node:fs';
+import { expect } from 'chai';
+import PlatformProtocol from '@rhubarbcroft/platform/PlatformProtocol';
+import decodeInstance from '@rhubarbcroft/platform/decodeInstance';
+import decodePrompt from '@rhubarbcroft/platform/decodePrompt';
+import decodeRouting from '@rhubarbcroft/platform/decodeRouting';
+import readSettings from '@rhubarbcroft/platform/readSettings';
+import describeFailure from '@rhubarbcroft/protocol/results/describeFailure';
+
+const ROOT = new URL('../../', import.meta.url);
+const ENTRY = {
+  service: 's',
+  address: '10.0.0.9:8080',
+  zone: 'a',
+  version: 'v1',
+  slots: 64,
+  state: 'ready',
+  coldRemainingMs: 0,
+  stage: 'decode',
+  sequence: 4,
+  born: 1_700_000_000_000,
+};
+const SETTINGS = `
+nodeName = "front-a-1"
+serves = ["front", "control"]
+ip = "10.1.0.38"
+zone = "a"
+internalPorts = [7380, 7395]
+seeds = ["10.1.0.38:8144", "10.2.0.40:8144"]
+newField = { nobody = "knows" }
+[zones]
+a = "ra"
+[listen]
+front = "10.1.0.38:8149"
+ready = "10.1.0.38:8141"
+control = "10.1.0.38:8144"
+[limits]
+maxFds = 4100
+[bounds]
+graceS = 8
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retryBudgetExtra = 54
+[platform]
+address = "10.200.1.7:8142"
+`;
+
+function tryDecode(decode: () => unknown): unknown {
+  try {
+    return decode();
+  } catch (error) {
+    return (error as Error).message;
+  }
+}
+
+describe('the platform’s entries', () => {
+  it('name an instance only if every field is as it must be', () => {
+    const wrong = [
+      { address: 'localhost:80' },
+      { address: 7 },
+      { state: 'resting' },
+      { born: 1.5 },
+      { born: undefined },
+      { slots: '64' },
+      { stage: 'idle' },
+      { sequence: Number.NaN },
+    ];
+    expect({
+      right: decodeInstance('i-1', ENTRY),
+      leaving: decodeInstance('i-1', { ...ENTRY, state: 'draining' }).isLeaving,
+      wrong: wrong.map((fields) => tryDecode(() => decodeInstance('i-1', { ...ENTRY, ...fields }))),
+    }).toMatchSnapshot();
+  });
+
+  it('describe routes, services and limits in the project’s own words', () => {
+    const document = {
+      version: 7,
+      routes: [
+        {
+          name: 'r-1',
+          host: 'shop.example',
+          prefix: '/a/',
+          kind: 'streaming',
+          timeoutMs: 6_000,
+          targetLatencyMs: 800,
+          priority: 0,
+          trafficSplit: [
+            { service: 's', weight: 90 },
+            { service: 't', weight: 10 },
+          ],
+          maxAttempts: 2,
+          sticky: true,
+          resumable: true,
+          gapAimMs: 300,
+        },
+      ],
+      services: [
+        {
+          name: 's',
+          healthPath: '/health',
+          maxConnections: 360,
+          engine: { slots: 64, kvCapacityTokens: 1, kvTokenBytes: 2, linkMbps: 3, handleTtlS: 5 },
+        },
+      ],
+      limits: { maxHeaderBytes: 1, maxBodyBytes: 2, headerTimeoutMs: 3, idleTimeoutMs: 4 },
+    };
+    expect(decodeRouting(document)).toMatchSnapshot();
+  });
+
+  it('describe a prompt, or none', () => {
+    const described = {
+      'x-token-count': '1460,80',
+      'x-prefix-hash': '5c1e:800, 91bd:410,bad,e4:250',
+      'x-model': 'm',
+    };
+    expect([
+      decodePrompt(described),
+      decodePrompt({ ...described, 'x-length-hint': '500' })?.outputTokens,
+      decodePrompt({ ...described, 'x-length-hint': '12' })?.outputTokens,
+      decodePrompt({ 'x-model': 'm' }),
+    ]).toMatchSnapshot();
+  });
+});
+
+describe('the platform’s headers', () => {
+  const protocol = new PlatformProtocol();
+
+  it('are the system’s to set, whatever a caller sends', () => {
+    const sent = [
+      'Host',
+      'h',
+      'X-Pin-Ms',
+      '5',
+      'X-Kv-Hold',
+      'x',
+      'Connection',
+      'close',
+      'X-Model',
+      'm',
+    ];
+    expect(
+      protocol.writeRequest([...sent, 'Last-Event-Id', '3'], {
+        requestId: 'r',
+        instanceId: 'i',
+        deadlineMs: 900,
+        lastEventId: '12',
+        priority: 11,
+        prefillOnly: false,
+        kvSource: { address: '10.0.0.1:80', handle: 'k' },
+      }),
+    ).toMatchSnapshot();
+  });
+
+  it('tell an own answer, one that was not run, and one that is not the replica’s', () => {
+    const read = (status: number, ...headers: readonly string[]): unknown =>
+      protocol.readAnswer(status, headers);
+    expect([
+      read(200, 'X-Request-Id', 'r', 'X-Response-Seal', 's', 'X-Instance-Load', '3,0,8'),
+      read(200, 'X-Response-Seal', 's', 'Content-Encoding', 'gzip'),
+      read(503, 'X-Not-Executed', '1'),
+      read(421, 'X-Instance-Id', 'i'),
+      read(503),
+    ]).toMatchSnapshot();
+  });
+});
+
+describe('the platform’s settings', () => {
+  it('are read without what is not known, and say what is missing', () => {
+    const missing = ['nodeName', 'internalPorts', 'graceS', 'front'].map((field) => {
+      const text = SETTINGS.split('\n').filter((line) => !line.startsWith(`${field} =`));
+      const settings = readSettings(text.join('\n'));
+      return settings.isErr ? describeFailure(settings.error) : 'accepted';
+    });
+    expect({ read: readSettings(SETTINGS).unwrapOr(undefined), missing }).toMatchSnapshot();
+  });
+});
+
+describe('the folder of the platform', () => {
+  const NAMES =
+    /x-response-seal|x-not-executed|x-kv-|kv-fetch|x-expect-|x-pin-ms|x-prefix-hash|rows-(tx|get|feed)|kvHandle|fencingToken|op\/config|trafficSplit/i;
+
+  function listSources(folder: string): readonly string[] {
+    return readdirSync(new URL(folder, ROOT), { recursive: true, encoding: 'utf8' })
+      .filter((file) => file.endsWith('.ts') && !/node_modules|dist/.test(file))
+      .map((file) => `${folder}${file}`);
+  }
+
+  it('is the only one that knows the platform’s names', () => {
+    const knowing = [...listSources('packages/'), ...listSources('bench/')].filter((file) =>
+      NAMES.test(readFileSync(new URL(file, ROOT), 'utf8')),
+    );
+    expect(knowing).to.deep.equal([]);
+  });
+
+  it('is imported by nobody else', () => {
+    const importing = listSources('packages/').filter((file) =>
+      /from '(@rhubarbcroft\/platform|.*\/\.\.\/platform\/src)/.test(
+        readFileSync(new URL(file, ROOT), 'utf8'),
+      ),
+    );
+    expect(importing).to.deep.equal([]);
+  });
+});
