End the programs of a small fleet with the process that started them

Cause: 29 stand-ins of a test run whose fleets failed to start were still there. Change: what a process started is killed at its exit.

--- a/packages/standins/src/fleet/Program.ts
+++ b/packages/standins/src/fleet/Program.ts
@@ -12,6 +12,10 @@
 type LogLine = Readonly<Record<string, unknown>>;
 
 const MAX_KEPT_LINES = 2_000;
+/** What this process has started and must not outlive it, also when a test or a start fails. */
+const started = new Set<ChildProcess>();
+process.once('exit', () => started.forEach((child) => child.kill('SIGKILL')));
+
 const SHOWN_LINES = 3;
 
 export default class Program {
@@ -32,6 +36,8 @@
     this.#exited = new Promise((resolve) => {
       this.#child.once('exit', (code) => resolve(code));
     });
+    started.add(this.#child);
+    void this.#exited.then(() => started.delete(this.#child));
     void this.#exited.then(() => this.#waiters.forEach((wake) => wake()));
     createInterface({ input: this.#child.stdout as NodeJS.ReadableStream }).on('line', (line) =>
       this.#accept(line),
