--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -30,6 +30,8 @@
   readonly maxPauseMs: number | undefined;
 }
 
+/** What a first event's own steps, and the way to another region and back, add. */
+const MARGIN_MS = 120;
 const STATUS_OK = 200;
 const FIRST_REDIRECT = 300;
 
@@ -62,7 +64,7 @@
     this.#notePrompt(kvSource);
     const result = await this.#send(kvSource, signal);
     target.end();
-    target.queue.drop(this.#id);
+    target.dropPrompt(this.#id);
     this.#judge(result);
     if (result.type === 'failed' && result.ran === 'not_run') {
       prefill.release();
@@ -88,6 +90,15 @@
     return retries.spend(this.#options.request.service, clock.nowMs());
   }
 
+  /** When the first token is expected, from now on. */
+  #expectedMs(kvSource: KvSource | undefined): number {
+    const { placement } = this.#options;
+    const latencyMs = this.#context.speeds.latencyMs + MARGIN_MS;
+    return kvSource === undefined && placement.prefill === undefined
+      ? placement.expectedMs + MARGIN_MS
+      : latencyMs + (kvSource === undefined ? this.#costMs : 0);
+  }
+
   #notePrompt(kvSource: KvSource | undefined): void {
     const { request, placement } = this.#options;
     const { target } = placement;
@@ -96,6 +107,7 @@
         attemptId: this.#id,
         prefillMs: kvSource === undefined ? this.#costMs : 0,
         generates: true,
+        expectedMs: this.#expectedMs(kvSource),
       });
     }
   }
@@ -164,7 +176,7 @@
   #expectEvents(watch: ProgressWatch): void {
     const { relay, patienceMs, maxPauseMs, placement } = this.#options;
     if (relay.hasEvents) {
-      placement.target.queue.complete(this.#id, this.#context.clock.nowMs());
+      placement.target.endPrompt(this.#id, this.#context.clock.nowMs());
     }
     watch.expect(relay.hasEvents ? maxPauseMs : patienceMs);
   }
--- a/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
+++ b/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
@@ -84,7 +84,7 @@
       stage,
       slots: instance.slots,
       running: state.estimateRunning(nowMs),
-      waitMs: state.queue.readWaitMs(rank, nowMs),
+      waitMs: state.estimateWaitMs(rank, nowMs),
       prefillingMs: state.queue.readWaitMs(Infinity, nowMs),
       cachedTokens: Math.max(assumedTokens, state.cache.countCached(prompt.parts)),
       failureShare: state.health.readFailureShare(nowMs),
--- a/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -20,6 +20,8 @@
 /** A prefill may take this many times what is expected, and this much more, before the target does it itself. */
 const PATIENCE_FACTOR = 3;
 const PATIENCE_MS = 1_500;
+/** What the way to another region and back adds to an answer. */
+const MARGIN_MS = 60;
 /** How long freeing a handle may take; the engine frees it by itself after a few seconds. */
 const RELEASE_TIMEOUT_MS = 1_000;
 const STATUS_OK = 200;
@@ -58,7 +60,12 @@
     const startedAtMs = clock.nowMs();
     const wasIdle = prefill.queue.length === 0;
     prefill.begin();
-    noteSend(this.#context, this.#request, prefill, { attemptId, prefillMs, generates: false });
+    noteSend(this.#context, this.#request, prefill, {
+      attemptId,
+      prefillMs,
+      generates: false,
+      expectedMs: Math.max(0, expectedMs) + MARGIN_MS,
+    });
     const watch = new ProgressWatch(signal, prefill.lost);
     watch.expect(expectedMs * PATIENCE_FACTOR + PATIENCE_MS);
     const handle = await this.#call(prefill, watch.signal);
@@ -66,14 +73,14 @@
     const nowMs = clock.nowMs();
     prefill.end();
     if (handle.isErr) {
-      prefill.queue.drop(attemptId);
+      prefill.dropPrompt(attemptId);
       PrefillCall.#judge(prefill, handle.error, nowMs, signal);
       const { kind, detail } = handle.error;
       this.#wasTurnedAway = kind === 'rejected' || (kind === 'broken' && !watch.wasSilent);
       log.info({ requestId: id, instance: prefill.instance.id, kind, detail }, 'prefill failed');
       return undefined;
     }
-    prefill.queue.complete(attemptId, nowMs);
+    prefill.endPrompt(attemptId, nowMs);
     prefill.health.recordSuccess(nowMs);
     log.info(
       {
--- a/packages/rhubarbcroft/src/forwarding/noteSend.ts
+++ b/packages/rhubarbcroft/src/forwarding/noteSend.ts
@@ -8,21 +8,25 @@
   /** How long the engine is thought to prefill; 0 when it continues from another's prefill. */
   readonly prefillMs: number;
   readonly generates: boolean;
+  /** When the prefill, or the first token, is expected. */
+  readonly expectedMs: number;
 }
 
 export default function noteSend(
   { clock, noteSent }: ForwardContext,
   { prompt, route }: ForwardRequest,
   engine: InstanceState,
-  { attemptId, prefillMs, generates }: SentWork,
+  { attemptId, prefillMs, generates, expectedMs }: SentWork,
 ): void {
   if (prompt === undefined) {
     return;
   }
   const { rank } = route;
+  const sentAtMs = clock.nowMs();
   if (prefillMs > 0) {
-    engine.queue.add({ attemptId, rank, costMs: prefillMs, sentAtMs: clock.nowMs() });
+    engine.queue.add({ attemptId, rank, costMs: prefillMs, sentAtMs });
   }
+  engine.lateness.begin(attemptId, { rank, endsAtMs: sentAtMs + expectedMs });
   engine.cache.touch(prompt.parts);
   noteSent({
     instanceId: engine.instance.id,
--- a/packages/rhubarbcroft/src/instances/InstanceState.ts
+++ b/packages/rhubarbcroft/src/instances/InstanceState.ts
@@ -1,6 +1,7 @@
 /** What this node knows of one instance: what it has sent there, what was reported, and how it fared. */
 import EndpointHealth from '../decisions/health/EndpointHealth.js';
 import KvCacheModel from '../decisions/placement/KvCacheModel.js';
+import LatenessTracker from '../decisions/placement/LatenessTracker.js';
 import PrefillQueue from '../decisions/placement/PrefillQueue.js';
 import ConnectionPool from './ConnectionPool.js';
 import type Instance from './Instance.js';
@@ -23,6 +24,8 @@
 
   readonly queue = new PrefillQueue();
 
+  readonly lateness = new LatenessTracker();
+
   readonly pool: ConnectionPool;
 
   #instance: Instance;
@@ -82,6 +85,23 @@
     this.#foreignEndsAtMs = [...this.#foreignEndsAtMs, startsAtMs + outputTokens * TOKEN_MS];
   }
 
+  /** The prompt of an own attempt has been prefilled, and the first token has come. */
+  endPrompt(attemptId: string, nowMs: number): void {
+    this.queue.complete(attemptId, nowMs);
+    this.lateness.end(attemptId, nowMs);
+  }
+
+  /** An own attempt has ended, with or without a first token. */
+  dropPrompt(attemptId: string): void {
+    this.queue.drop(attemptId);
+    this.lateness.drop(attemptId);
+  }
+
+  /** How long a new prompt of this rank is thought to wait before its prefill. */
+  estimateWaitMs(rank: number, nowMs: number): number {
+    return this.queue.readWaitMs(rank, nowMs) + this.lateness.read(rank, nowMs);
+  }
+
   recordLoad(load: InstanceLoad, nowMs: number): void {
     this.#load = load;
     this.#loadAtMs = nowMs;
--- a/test/placement/placement.test.ts
+++ b/test/placement/placement.test.ts
@@ -4,6 +4,7 @@
 import type EngineCandidate from 'rhubarbcroft/decisions/placement/EngineCandidate';
 import EngineSpeeds from 'rhubarbcroft/decisions/placement/EngineSpeeds';
 import KvCacheModel from 'rhubarbcroft/decisions/placement/KvCacheModel';
+import LatenessTracker from 'rhubarbcroft/decisions/placement/LatenessTracker';
 import PrefillQueue from 'rhubarbcroft/decisions/placement/PrefillQueue';
 import type Prompt from 'rhubarbcroft/decisions/placement/Prompt';
 import chooseHome from 'rhubarbcroft/decisions/placement/chooseHome';
@@ -129,6 +130,28 @@
   });
 });
 
+describe('the lateness of an engine', () => {
+  it('tells of a slow engine while its prompts are overdue, and fades when they come in time', () => {
+    const lateness = new LatenessTracker();
+    lateness.begin('one', { rank: 1, endsAtMs: 100 });
+    const overdue = [lateness.read(0, 400), lateness.read(1, 400), lateness.read(2, 400)];
+    lateness.end('one', 500);
+    const after = lateness.read(1, 500);
+    lateness.begin('two', { rank: 1, endsAtMs: 900 });
+    lateness.end('two', 800);
+    lateness.begin('three', { rank: 1, endsAtMs: 0 });
+    lateness.drop('three');
+    expect([overdue, after]).to.deep.equal([[0, 300, 300], 200]);
+    expect(lateness.read(1, 800)).to.be.lessThan(100);
+    expect(lateness.read(1, 20_000)).to.be.lessThan(1);
+  });
+
+  it('sends prompts past an engine that is four times as slow as its peers', () => {
+    const slow = engine('slow', { waitMs: 450 });
+    expect(choose(LOOKUP, slow, engine('e'))).to.equal('whole > e');
+  });
+});
+
 describe('the model of an engine’s cache', () => {
   it('holds the latest parts, counts only from the start, and stays within its memory', () => {
     const cache = new KvCacheModel(1_000);
