--- a/test/discovery/discovery.test.ts
+++ b/test/discovery/discovery.test.ts
@@ -151,7 +151,7 @@
       noteReturn: (): unknown => events.push('return'),
     };
     const stop = new AbortController();
-    const reader = new FeedReader(feed, consumer as never, new ManualClock(), log);
+    const reader = new FeedReader(feed, consumer, new ManualClock(), log);
     const running = reader.run(stop.signal);
     await new Promise((resolve) => {
       setTimeout(resolve, 20);
--- a/test/platform/standins/ReplicaStandin.ts
+++ b/test/platform/standins/ReplicaStandin.ts
@@ -4,20 +4,9 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import { once } from 'node:events';
-
-interface Arrival {
-  readonly id: string;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: Readonly<Record<string, unknown>>;
-  readonly body: string;
-  readonly response: ServerResponse;
-  readonly socket: Socket;
-  /** Resolves when the caller of the replica has hung up. */
-  readonly left: Promise<void>;
-}
+import type Arrival from './Arrival.js';
 
 type Behaviour = (arrival: Arrival, count: number) => Promise<void> | void;
 
--- /dev/null
+++ b/test/platform/standins/createRoute.ts
@@ -0,0 +1,20 @@
+/** One route of a test's configuration, as the operator writes it. */
+export default function createRoute(
+  prefix: string,
+  service: string,
+  options: Readonly<Record<string, unknown>> = {},
+): unknown {
+  return {
+    name: prefix,
+    host: 'shop.example',
+    prefix,
+    kind: 'idempotent',
+    timeoutMs: 2_000,
+    targetLatencyMs: 400,
+    priority: 1,
+    maxAttempts: 2,
+    sticky: false,
+    service,
+    ...options,
+  };
+}
--- a/test/platform/standins/startGateway.ts
+++ b/test/platform/standins/startGateway.ts
@@ -39,9 +39,7 @@
   const lines: Readonly<Record<string, unknown>>[] = [];
   const log = bunyan.createLogger({
     name: 'test',
-    streams: [
-      { type: 'raw', stream: { write: (line: object) => lines.push({ ...line }) } as never },
-    ],
+    streams: [{ type: 'raw', stream: { write: (line: object) => lines.push({ ...line }) } }],
   });
   const store = new PlatformClient(storeUrl, 1_000);
   const shutdown = new AbortController();
