Blame an endpoint only for what it did

Cause: found by reading: a caller who left while a connection was being made counted as an endpoint that cannot be reached, which ended all repeatable attempts there; one who left, or a time that was over, counted as a break. Change: such ends are not judged. The test failed before (left while connecting: lost and resting) and passes now.

--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -65,7 +65,9 @@
     const result = await this.#send(kvSource, signal);
     target.end();
     target.dropPrompt(this.#id);
-    this.#judge(result);
+    if (!signal.aborted) {
+      this.#judge(result);
+    }
     if (result.type === 'failed' && result.ran === 'not_run') {
       prefill.release();
     }
@@ -215,6 +217,7 @@
     return undefined;
   }
 
+  /** Notes how the endpoint fared; not called when the caller left or the time was over, which say nothing of it. */
   #judge(result: AttemptResult): void {
     const { target } = this.#options.placement;
     const { health } = target;
--- /dev/null
+++ b/test/forwarding/attempt.test.ts
@@ -0,0 +1,120 @@
+/** What an attempt says of its endpoint: nothing when the caller left or the time was over before it could tell. */
+import bunyan from 'bunyan';
+import { expect } from 'chai';
+import { err } from 'true-myth/result';
+import PlatformProtocol from '@rhubarbcroft/platform/PlatformProtocol';
+import EngineSpeeds from 'rhubarbcroft/decisions/placement/EngineSpeeds';
+import FleetRetryBudget from 'rhubarbcroft/decisions/retries/FleetRetryBudget';
+import Attempt from 'rhubarbcroft/forwarding/Attempt';
+import type ForwardContext from 'rhubarbcroft/forwarding/ForwardContext';
+import type ForwardRequest from 'rhubarbcroft/forwarding/ForwardRequest';
+import StreamRelay from 'rhubarbcroft/forwarding/StreamRelay';
+import InstanceState from 'rhubarbcroft/instances/InstanceState';
+import InstanceRegistry from 'rhubarbcroft/instances/InstanceRegistry';
+import RoutingHolder from 'rhubarbcroft/routes/RoutingHolder';
+import SilentMetrics from 'rhubarbcroft/telemetry/SilentMetrics';
+import ManualClock from '../support/ManualClock.js';
+
+const REQUEST: ForwardRequest = {
+  id: 'r',
+  method: 'GET',
+  path: '/',
+  rawHeaders: [],
+  body: undefined,
+  route: {
+    name: 'r',
+    host: 'h',
+    prefix: '/',
+    kind: 'idempotent',
+    destinations: [],
+    timeoutMs: 1_000,
+    targetLatencyMs: 400,
+    maxAttempts: 2,
+    rank: 0,
+    resumable: false,
+    hasPrompts: false,
+    maxEventGapMs: 300,
+  },
+  service: 's',
+  prompt: undefined,
+  lastEventId: undefined,
+  arrivedAtMs: 0,
+  expiresAtMs: 1_000,
+  isRepeatable: true,
+};
+
+function createContext(clock: ManualClock): ForwardContext {
+  const log = bunyan.createLogger({ name: 'test', streams: [] });
+  const routing = new RoutingHolder();
+  return {
+    place: { domain: 'a', regionsByDomain: { a: 'r' } },
+    routing,
+    registry: new InstanceRegistry({ routing, clock, log, connectTimeoutMs: 100 }),
+    protocol: new PlatformProtocol(),
+    retries: new FleetRetryBudget({
+      ratio: 1,
+      windowMs: 1_000,
+      reserve: 10,
+      countNodes: () => 1,
+    }),
+    speeds: new EngineSpeeds(),
+    noteSent: () => undefined,
+    metrics: new SilentMetrics(),
+    clock,
+    log,
+  };
+}
+
+describe('an attempt', () => {
+  /** Ends one attempt by a failure of its send, with or without its caller leaving; whether the endpoint rests. */
+  async function endsWithRest(kind: 'unsent' | 'broken', callerLeaves: boolean): Promise<unknown> {
+    const clock = new ManualClock();
+    const target = new InstanceState(
+      {
+        id: 'i',
+        service: 's',
+        address: '127.0.0.1:1',
+        domain: 'a',
+        slots: 4,
+        isLeaving: false,
+        stage: undefined,
+        coldRemainingMs: 0,
+        startedAtMs: 1,
+        sequence: 1,
+      },
+      { connectTimeoutMs: 100, kvCapacityTokens: 1 },
+    );
+    const caller = new AbortController();
+    const connection = {
+      send: async () => {
+        if (callerLeaves) {
+          caller.abort();
+        }
+        return err({ kind, detail: 'ended' });
+      },
+      close: () => undefined,
+    };
+    Object.assign(target.pool, { take: () => connection });
+    const { lost } = target;
+    for (let count = 0; count < 2; count += 1) {
+      await new Attempt(createContext(clock), {
+        request: REQUEST,
+        placement: { target, prefill: undefined, prefillMs: 0, expectedMs: 0 },
+        relay: new StreamRelay({ headersSent: false } as never),
+        lastEventId: undefined,
+        patienceMs: 400,
+        maxPauseMs: 400,
+      }).run(caller.signal);
+    }
+    return { rests: target.health.isResting(clock.nowMs()), lost: lost.aborted };
+  }
+
+  it('blames its endpoint for what failed, not for a caller who left', async () => {
+    expect({
+      'no connection': await endsWithRest('unsent', false),
+      'broken twice': await endsWithRest('broken', false),
+      'left while connecting': await endsWithRest('unsent', true),
+      'left while waiting': await endsWithRest('broken', true),
+    }).toMatchSnapshot();
+  });
+});
