Measure the rate of admission over the time that it was busy

Change: the window counts as far as something was waiting; in the first 250 ms of a burst nothing is refused for its deadline. The new test fails without it and passes with it.

--- a/packages/rhubarbcroft/src/decisions/admission/FairAdmission.ts
+++ b/packages/rhubarbcroft/src/decisions/admission/FairAdmission.ts
@@ -43,6 +43,8 @@
 /** The fraction of its first-token target that work waits before it calls in its floor. */
 const FLOOR_PATIENCE = 0.2;
 const RATE_WINDOW_MS = 5_000;
+/** Before a burst has lasted this long its rate says little: some answers of the shortest kind. */
+const MIN_BUSY_MS = 250;
 const MAX_KIND_QUEUES = 512;
 const MIN_KNOWN_COST = 1;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
@@ -56,6 +58,9 @@
 
   readonly #rate = new DecayingSum(RATE_WINDOW_MS);
 
+  /** Since when something has been waiting without a break. */
+  #busySinceMs = -Infinity;
+
   constructor(options: FairAdmissionOptions) {
     super();
     this.#options = options;
@@ -70,6 +75,9 @@
     if (queue === undefined || queue.size >= this.#options.maxQueuedPerKind) {
       return { admitted: false, code: 'QUEUE_FULL', retryAfterMs: DEFAULT_RETRY_AFTER_MS };
     }
+    if (this.waiting === 0) {
+      this.#busySinceMs = nowMs;
+    }
     const waitMs = this.#estimateWaitMs(queue, nowMs);
     const lateMs = nowMs + waitMs + this.#options.estimateServiceMs(work) - work.deadlineAtMs;
     if (lateMs > 0) {
@@ -184,8 +192,8 @@
   /** The time in which the backlog that goes before this queue's next work is served. */
   #estimateWaitMs(queue: KindQueue, nowMs: number): number {
     const { floor } = this.#options.findShare(queue.kind);
-    const ratePerMs = this.#rate.read(nowMs) / RATE_WINDOW_MS;
-    if (ratePerMs <= 0) {
+    const ratePerMs = this.#estimateRatePerMs(nowMs);
+    if (ratePerMs === undefined) {
       return 0;
     }
     const rank = RANKS.indexOf(queue.rank);
@@ -197,6 +205,19 @@
     return Math.min(byRankMs, byFloorMs);
   }
 
+  /**
+   * What is served in a millisecond while there is something to serve. The window counts only as far as
+   * it was busy: the quiet before a burst says nothing of what the endpoints can take.
+   */
+  #estimateRatePerMs(nowMs: number): number | undefined {
+    const busyMs = nowMs - this.#busySinceMs;
+    const served = this.#rate.read(nowMs);
+    if (busyMs < MIN_BUSY_MS || served <= 0) {
+      return undefined;
+    }
+    return served / (RATE_WINDOW_MS * (1 - Math.exp(-busyMs / RATE_WINDOW_MS)));
+  }
+
   #resolveQueue(work: Work): KindQueue | undefined {
     const key = `${work.rank}\n${work.kind}`;
     const known = this.#queues.get(key);
--- a/test/admission/decisions.test.ts
+++ b/test/admission/decisions.test.ts
@@ -51,6 +51,24 @@
     expect({ early, afterTheWait }).toMatchSnapshot();
   });
 
+  it('knows its rate from the time it was busy, not from the quiet before a burst', () => {
+    const admission = createAdmission(20_000);
+    for (let index = 0; index < 5_000; index += 1) {
+      const patient = { deadlineAtMs: 300_000 };
+      admission.offer(createWork(`crowd-${index}`, 'lookup', 'urgent', patient), 100_000);
+    }
+    // 100 served in half a second: the 5,000 ahead need 25 s.
+    for (let atMs = 100_005; atMs <= 100_500; atMs += 5) {
+      admission.take(atMs, () => true);
+    }
+    const offer = (deadlineMs: number): boolean =>
+      admission.offer(
+        createWork(`by-${deadlineMs}`, 'lookup', 'urgent', { deadlineAtMs: 100_500 + deadlineMs }),
+        100_500,
+      ).admitted;
+    expect([offer(10_000), offer(40_000)]).to.deep.equal([false, true]);
+  });
+
   it('holds back lower ranks while a higher one cannot run', () => {
     const admission = createAdmission();
     admission.offer(createWork('urgent', 'lookup', 'urgent'), 0);
