--- a/packages/rhubarbcroft/src/discovery/FeedReader.ts
+++ b/packages/rhubarbcroft/src/discovery/FeedReader.ts
@@ -1,7 +1,7 @@
 /**
  * The task that follows one table of the store: list it, then wait for changes from there on. After a
- * failure it goes on from the last version that it has seen, and lists anew only when the store has
- * dropped that history.
+ * failure it lists anew: a listing is answered at once, so that the return of the store is noticed then and
+ * not only with the next change; it does so too when the store has dropped the history.
  */
 import type Logger from 'bunyan';
 import type Clock from '../supervision/Clock.js';
@@ -46,7 +46,7 @@
     let retryMs = RETRY_MIN_MS;
     while (!signal.aborted) {
       const answered =
-        this.#version === undefined
+        this.#version === undefined || this.#failingSinceMs !== undefined
           ? await this.#list(signal)
           : await this.#follow(this.#version, signal);
       if (answered) {
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -60,6 +60,11 @@
       const detail = 'the prefill was declined and the retry budget is spent';
       return { type: 'failed', failure: { kind: 'rejected', detail }, ran: 'not_run' };
     }
+    if (!this.#mayStillSend()) {
+      prefill.release();
+      const detail = 'the endpoint began to leave during the prefill';
+      return { type: 'failed', failure: { kind: 'unsent', detail }, ran: 'not_run' };
+    }
     target.begin();
     this.#notePrompt(kvSource);
     const result = await this.#send(kvSource, signal);
@@ -74,6 +79,15 @@
     return result;
   }
 
+  /** Whether the target is still one that may be given work: a prefill can take seconds. */
+  #mayStillSend(): boolean {
+    const { request, placement } = this.#options;
+    return (
+      placement.prefill === undefined ||
+      this.#context.registry.listAvailable(request.service).includes(placement.target)
+    );
+  }
+
   /** How long the target's own prefill is thought to take, also when it steps in for one that failed. */
   get #costMs(): number {
     const { request, placement } = this.#options;
--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -1,7 +1,8 @@
 /**
  * One HTTP connection to an endpoint. It is opened once and never reopened, so that a request is
- * certainly unsent as long as the connection was not made. A body that ends with its connection is
- * whole only if the connection was closed in order; a reset makes it incomplete.
+ * certainly unsent as long as the connection was not made. A body whose end no header announces is not
+ * known to be whole when its connection ends, in whatever way: an endpoint that stops in the middle may
+ * close in order too.
  */
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
@@ -31,7 +32,6 @@
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 /** How long a connection is kept idle when the endpoint announces nothing. */
 const KEEP_ALIVE_MS = 4_000;
-const RESET = 'ECONNRESET';
 const FRAMING_HEADERS = new Set(['content-length', 'transfer-encoding']);
 
 /** Whether the headers say where the body ends; otherwise it ends with the connection. */
@@ -46,8 +46,6 @@
 
   #attempted = false;
 
-  #wasReset = false;
-
   #isClosed = false;
 
   constructor(address: string, connectTimeoutMs: number) {
@@ -108,8 +106,8 @@
     for await (const chunk of body) {
       yield chunk as Buffer;
     }
-    if (!framed && this.#wasReset) {
-      throw new Error('the connection was reset');
+    if (!framed) {
+      throw new Error('the connection ended, and no header says where the answer does');
     }
   }
 
@@ -132,9 +130,8 @@
     socket.once('connect', () => {
       clearTimeout(timer);
       socket.removeListener('error', fail);
-      socket.on('error', (error: NodeJS.ErrnoException) => {
-        this.#wasReset ||= error.code === RESET;
-      });
+      // The client reports the error of a call under way; an idle connection is simply not used again.
+      socket.on('error', () => undefined);
       socket.once('close', () => {
         this.#isClosed = true;
       });
