--- a/test/support/reporter.cjs
+++ b/test/support/reporter.cjs
@@ -30,7 +30,9 @@
     });
     runner.once(Runner.constants.EVENT_RUN_END, () => {
       const { passes, failures, pending } = this.stats;
-      this.knownRed.forEach((title) => process.stdout.write(`known red (KNOWN-RED.txt): ${title}\n`));
+      this.knownRed.forEach((title) =>
+        process.stdout.write(`known red (KNOWN-RED.txt): ${title}\n`),
+      );
       process.stdout.write(
         `${passes} passed, ${failures - this.knownRed.length} failed, ${pending} skipped\n`,
       );
