Keep work for engines that are merely suspect, and do not extrapolate a moment's rate to minutes

Cause: ten thousand answers at once on a busy machine. 1,643 of them ended with 1204 (no endpoint available): an engine that is full rejects, three rejections ejected it, and slow load reads made the others unreachable; when none was left, all that waited was refused. 3,576 ended with 1203: the rate seen in the first quarter second, while connections are still being made, was held against a deadline of 170 s. Change: a rejection is no failure of the engine; a group in which no engine is above suspicion uses the suspects that do not refuse connections; a rate is extrapolated to twenty times the time for which it was seen.

--- a/packages/rhubarbcroft/src/decisions/admission/FairAdmission.ts
+++ b/packages/rhubarbcroft/src/decisions/admission/FairAdmission.ts
@@ -45,6 +45,11 @@
 const RATE_WINDOW_MS = 5_000;
 /** Before a burst has lasted this long its rate says little: some answers of the shortest kind. */
 const MIN_BUSY_MS = 250;
+/**
+ * How many times the time for which a rate was observed it may be extrapolated: 250 ms speak for a deadline
+ * of 5 s, not for one of minutes.
+ */
+const MAX_EXTRAPOLATION = 20;
 const MAX_KIND_QUEUES = 512;
 const MIN_KNOWN_COST = 1;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
@@ -80,7 +85,7 @@
     }
     const waitMs = this.#estimateWaitMs(queue, nowMs);
     const lateMs = nowMs + waitMs + this.#options.estimateServiceMs(work) - work.deadlineAtMs;
-    if (lateMs > 0) {
+    if (lateMs > 0 && this.#canForesee(work.deadlineAtMs, nowMs)) {
       return { admitted: false, code: 'DEADLINE_UNREACHABLE', retryAfterMs: Math.ceil(waitMs) };
     }
     queue.add(work, this.#findLeastVirtualTime(queue), nowMs);
@@ -205,6 +210,12 @@
     return Math.min(byRankMs, byFloorMs);
   }
 
+  /** Whether the rate was observed for long enough to say what is served until then. */
+  #canForesee(untilMs: number, nowMs: number): boolean {
+    const busyMs = nowMs - this.#busySinceMs;
+    return untilMs - nowMs <= Math.max(MIN_BUSY_MS, busyMs) * MAX_EXTRAPOLATION;
+  }
+
   /**
    * What is served in a millisecond while there is something to serve. The window counts only as far as
    * it was busy: the quiet before a burst says nothing of what the endpoints can take.
--- a/packages/rhubarbcroft/src/dispatch/CrashJudge.ts
+++ b/packages/rhubarbcroft/src/dispatch/CrashJudge.ts
@@ -30,7 +30,11 @@
   }
 
   async judge(endpointId: string, failure: AttemptFailure): Promise<Finding> {
-    if (failure.kind === 'unsent' || failure.kind === 'rejected' || failure.kind === 'invalid') {
+    if (failure.kind === 'rejected') {
+      // A full engine answers; ejecting it would only press the load onto the others.
+      return 'notStarted';
+    }
+    if (failure.kind === 'unsent' || failure.kind === 'invalid') {
       this.#recordFailure(endpointId);
       return 'notStarted';
     }
@@ -42,7 +46,9 @@
       return 'connectionLost';
     }
     this.#recordFailure(endpointId);
-    entry?.state.recordFailedRead();
+    if (load?.isErr === true) {
+      entry?.state.recordFailedRead(load.error);
+    }
     this.#recordCrash(endpointId, bootId, running);
     return 'crashed';
   }
--- a/packages/rhubarbcroft/src/dispatch/DispatchGate.ts
+++ b/packages/rhubarbcroft/src/dispatch/DispatchGate.ts
@@ -241,6 +241,6 @@
   }
 
   #listCandidates(): readonly EndpointView[] {
-    return this.#options.registry.listViews(this.#options.listCandidateIds());
+    return this.#options.registry.listCandidates(this.#options.listCandidateIds());
   }
 }
--- a/packages/rhubarbcroft/src/endpoints/EndpointRegistry.ts
+++ b/packages/rhubarbcroft/src/endpoints/EndpointRegistry.ts
@@ -104,6 +104,23 @@
     return views;
   }
 
+  /**
+   * The endpoints of a group as candidates for new work. When none is above suspicion, those that are merely
+   * suspect are used: on an overloaded node all of them seem slow to answer, and refusing everything would be
+   * worse than a wrong guess.
+   */
+  listCandidates(ids: readonly string[]): readonly EndpointView[] {
+    const views = this.listViews(ids);
+    if (views.some(({ available }) => available)) {
+      return views;
+    }
+    return views.map((view) => ({
+      ...view,
+      available:
+        !this.isLeaving(view.id) && this.#entries.get(view.id)?.state.isOnlySuspect === true,
+    }));
+  }
+
   async close(): Promise<void> {
     await Promise.all([...this.#entries.values()].map((entry) => this.#closeEntry(entry)));
   }
--- a/packages/rhubarbcroft/src/endpoints/EndpointState.ts
+++ b/packages/rhubarbcroft/src/endpoints/EndpointState.ts
@@ -9,6 +9,7 @@
 import AdaptiveLimit from '../decisions/limits/AdaptiveLimit.js';
 import OutlierDetector from '../decisions/limits/OutlierDetector.js';
 import type NodePlace from '../membership/NodePlace.js';
+import type AttemptFailure from './AttemptFailure.js';
 import computeShift from './computeShift.js';
 import type SentWork from './SentWork.js';
 
@@ -55,6 +56,9 @@
 
   #failedReads = 0;
 
+  /** Whether the last read found nobody listening, as against an endpoint that was slow to answer. */
+  #isDown = false;
+
   #shift = 0;
 
   #othersSent: readonly PeerSend[] = [];
@@ -80,6 +84,7 @@
   offerReport(report: LoadReport, nowMs: number): void {
     const describedAtMs = nowMs - report.ageMs;
     this.#failedReads = 0;
+    this.#isDown = false;
     if (describedAtMs < this.#reportedAtMs) {
       return;
     }
@@ -100,8 +105,9 @@
     }
   }
 
-  recordFailedRead(): void {
+  recordFailedRead({ kind }: AttemptFailure): void {
     this.#failedReads += 1;
+    this.#isDown = kind === 'unsent';
   }
 
   begin(sent: SentWork): void {
@@ -171,9 +177,16 @@
     return sums;
   }
 
+  /** Whether only silence or earlier failures speak against the endpoint: it may still take work. */
+  get isOnlySuspect(): boolean {
+    return !this.#isChanging && !this.#isDown;
+  }
+
+  get #isChanging(): boolean {
+    return this.#report?.changing === true || this.#report?.leaving === true;
+  }
+
   #isFit(nowMs: number): boolean {
-    const changing = this.#report?.changing ?? false;
-    const leaving = this.#report?.leaving ?? false;
-    return !changing && !leaving && this.reachable && !this.outliers.isEjected(nowMs);
+    return !this.#isChanging && this.reachable && !this.outliers.isEjected(nowMs);
   }
 }
--- a/packages/rhubarbcroft/src/endpoints/LoadReader.ts
+++ b/packages/rhubarbcroft/src/endpoints/LoadReader.ts
@@ -46,7 +46,7 @@
       return;
     }
     if (report.isErr) {
-      entry.state.recordFailedRead();
+      entry.state.recordFailedRead(report.error);
       return;
     }
     entry.state.offerReport(report.value, this.clock.nowMs());
--- a/test/admission/decisions.test.ts
+++ b/test/admission/decisions.test.ts
@@ -69,6 +69,24 @@
     expect([offer(10_000), offer(40_000)]).to.deep.equal([false, true]);
   });
 
+  it('does not refuse on a rate that was observed too briefly for the deadline', () => {
+    const admission = createAdmission(20_000);
+    const patient = { deadlineAtMs: 300_000 };
+    for (let index = 0; index < 5_000; index += 1) {
+      admission.offer(createWork(`crowd-${index}`, 'lookup', 'urgent', patient), 100_000);
+    }
+    // 5 served in half a second, while connections are still being made: the 5,000 ahead would need 500 s.
+    for (let atMs = 100_100; atMs <= 100_500; atMs += 100) {
+      admission.take(atMs, () => true);
+    }
+    const offer = (deadlineMs: number): boolean =>
+      admission.offer(
+        createWork(`by-${deadlineMs}`, 'lookup', 'urgent', { deadlineAtMs: 100_500 + deadlineMs }),
+        100_500,
+      ).admitted;
+    expect([offer(5_000), offer(170_000)]).to.deep.equal([false, true]);
+  });
+
   it('holds back lower ranks while a higher one cannot run', () => {
     const admission = createAdmission();
     admission.offer(createWork('urgent', 'lookup', 'urgent'), 0);
