--- a/packages/rhubarbcroft/src/discovery/FeedReader.ts
+++ b/packages/rhubarbcroft/src/discovery/FeedReader.ts
@@ -12,6 +12,11 @@
 /** First and longest pause between calls that fail: the store bounds calls, and all of them are priced. */
 const RETRY_MIN_MS = 200;
 const RETRY_MAX_MS = 1_000;
+/**
+ * The least time between two calls that bring changes: in a burst of changes one call brings many, and what
+ * is known half a second later is still in force well within the platform's bounds (3 s).
+ */
+const MIN_SPACING_MS = 500;
 
 export default class FeedReader<Value> extends Task {
   override readonly name: string;
@@ -26,6 +31,8 @@
 
   #version: number | undefined;
 
+  #calledAtMs = -Infinity;
+
   #failingSinceMs: number | undefined;
 
   constructor(feed: ChangeFeed<Value>, consumer: FeedConsumer<Value>, clock: Clock, log: Logger) {
@@ -75,6 +82,11 @@
   }
 
   async #follow(version: number, signal: AbortSignal): Promise<boolean> {
+    const spacingMs = this.#calledAtMs + MIN_SPACING_MS - this.#clock.nowMs();
+    if (spacingMs > 0) {
+      await this.#clock.sleep(spacingMs, signal);
+    }
+    this.#calledAtMs = this.#clock.nowMs();
     const page = await this.#feed.waitForChanges(version, signal);
     if (page.isErr) {
       this.#noteFailure(page.error.detail, signal);
--- a/test/discovery/discovery.test.ts
+++ b/test/discovery/discovery.test.ts
@@ -160,6 +160,29 @@
     await running;
     expect({ calls: feed.calls, events }).toMatchSnapshot();
   });
+
+  it('asks at most twice a second while changes come in a burst', async () => {
+    const at = (version: number): Result<FeedPage<string>, Failure> => ok({ version, rows: [] });
+    const versions = Array.from({ length: 21 }, (_unused, index) => index + 1);
+    const consumer = {
+      replaceAll: (): void => undefined,
+      applyChanges: (): void => undefined,
+      noteOutage: (): void => undefined,
+      noteReturn: (): void => undefined,
+    };
+    const clock = new ManualClock();
+    const stop = new AbortController();
+    const running = new FeedReader(new ScriptedFeed(...versions.map(at)), consumer, clock, log).run(
+      stop.signal,
+    );
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+    // The listing and twenty answers with changes, then a call that waits.
+    expect(clock.nowMs()).to.equal(10_000);
+    stop.abort();
+    await running;
+  });
 });
 
 function createDocument(version: number, prefixes: readonly string[]): RoutingDocument {
