--- a/packages/rhubarbcroft/src/decisions/placement/PLACEMENT_COSTS.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/PLACEMENT_COSTS.ts
@@ -14,6 +14,8 @@
   transferSetupMs: 3,
   /** What moving the KV cache of a token inside a failure domain is worth in waiting, by the users' price. */
   transferMsPerToken: 0.001,
+  /** Fewer tokens than this are prefilled in less time than a copy takes from another region. */
+  copyMinTokens: 1_000,
   /** A hand-over's second call and its answer. */
   handOverMs: 5,
   /** The time of one step of an engine, and what each running request adds to it, as on the users' sheet. */
--- a/packages/rhubarbcroft/src/decisions/placement/PromptPlan.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/PromptPlan.ts
@@ -4,6 +4,8 @@
   readonly engineId: string;
   /** The engine that prefills the prompt first, if not the same one. */
   readonly prefillId: string | undefined;
+  /** The engine from whose KV cache shared parts are copied before the prefill; undefined when none has more. */
+  readonly copyFromId: string | undefined;
   /** How long the prefill is thought to take once it begins. */
   readonly prefillMs: number;
   readonly expectedFirstTokenMs: number;
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -161,6 +161,7 @@
       lastEventId,
       priority: request.prompt === undefined ? undefined : request.route.rank,
       prefillOnly: false,
+      copyFromAddress: this.#findCopyAddress(kvSource),
       kvSource,
     });
     const { method, path, body } = request;
@@ -206,6 +207,12 @@
     };
   }
 
+  /** A prompt that goes on from a finished prefill lacks nothing. */
+  #findCopyAddress(kvSource: KvSource | undefined): string | undefined {
+    const { target, copyFrom } = this.#options.placement;
+    return kvSource === undefined && copyFrom !== target ? copyFrom?.instance.address : undefined;
+  }
+
   #noteAnswer(marks: AnswerMarks): void {
     const { target } = this.#options.placement;
     if (marks.load !== undefined) {
--- a/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
+++ b/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
@@ -56,7 +56,9 @@
       return undefined;
     }
     const prefill = states.find(({ instance }) => instance.id === plan.prefillId);
-    return { target, prefill, prefillMs: plan.prefillMs, expectedMs: plan.expectedFirstTokenMs };
+    const copyFrom = states.find(({ instance }) => instance.id === plan.copyFromId);
+    const { prefillMs, expectedFirstTokenMs: expectedMs } = plan;
+    return { target, prefill, copyFrom, prefillMs, expectedMs };
   }
 
   #findHome(prompt: Prompt, states: readonly InstanceState[]): string | undefined {
--- a/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -43,7 +43,10 @@
     this.#placement = placement;
   }
 
-  /** Whether the engine may have counted the call as one that it did not take. */
+  /**
+   * Whether the engine may have counted the call as one that it did not take: also one that was given up,
+   * since it may still have been waiting there.
+   */
   get wasTurnedAway(): boolean {
     return this.#wasTurnedAway;
   }
@@ -76,7 +79,7 @@
       prefill.dropPrompt(attemptId);
       PrefillCall.#judge(prefill, handle.error, nowMs, signal);
       const { kind, detail } = handle.error;
-      this.#wasTurnedAway = kind === 'rejected' || (kind === 'broken' && !watch.wasSilent);
+      this.#wasTurnedAway = kind !== 'unsent';
       log.info({ requestId: id, instance: prefill.instance.id, kind, detail }, 'prefill failed');
       return undefined;
     }
@@ -136,6 +139,7 @@
       lastEventId: undefined,
       priority: route.rank,
       prefillOnly: true,
+      copyFromAddress: this.#placement.copyFrom?.instance.address,
       kvSource: undefined,
     });
     const sent = await connection.send({ method, path, headers, body }, signal);
--- a/packages/rhubarbcroft/src/forwarding/SendInstructions.ts
+++ b/packages/rhubarbcroft/src/forwarding/SendInstructions.ts
@@ -12,6 +12,8 @@
   readonly priority: number | undefined;
   /** Prefill only: the answer names the KV cache instead of generating. */
   readonly prefillOnly: boolean;
+  /** IP address and port of an engine from whose KV cache shared parts are copied first. */
+  readonly copyFromAddress: string | undefined;
   /** The prefill to continue from. */
   readonly kvSource: KvSource | undefined;
 }
--- a/packages/rhubarbcroft/src/forwarding/ServiceChooser.ts
+++ b/packages/rhubarbcroft/src/forwarding/ServiceChooser.ts
@@ -32,6 +32,8 @@
       })),
     );
     const target = states.find(({ instance }) => instance.id === chosen?.id);
-    return target && { target, prefill: undefined, prefillMs: 0, expectedMs: 0 };
+    return (
+      target && { target, prefill: undefined, copyFrom: undefined, prefillMs: 0, expectedMs: 0 }
+    );
   }
 }
--- a/test/forwarding/attempt.test.ts
+++ b/test/forwarding/attempt.test.ts
@@ -99,7 +99,7 @@
     for (let count = 0; count < 2; count += 1) {
       await new Attempt(createContext(clock), {
         request: REQUEST,
-        placement: { target, prefill: undefined, prefillMs: 0, expectedMs: 0 },
+        placement: { target, prefill: undefined, copyFrom: undefined, prefillMs: 0, expectedMs: 0 },
         relay: new StreamRelay({ headersSent: false } as never),
         lastEventId: undefined,
         patienceMs: 400,
--- a/test/placement/placement.test.ts
+++ b/test/placement/placement.test.ts
@@ -93,6 +93,24 @@
     }).toMatchSnapshot();
   });
 
+  it('copies shared parts from the engine that holds them, so that its queue does not bind them', () => {
+    const placement = new CostPromptPlacement(PLACE, new EngineSpeeds(), () => 0.0004);
+    const holder = engine('holder', { stage: 'prefill', cachedTokens: 13_300, waitMs: 900 });
+    const describe = (...candidates: readonly EngineCandidate[]): unknown => {
+      const plan = placement.choose(AUDIT, candidates);
+      return plan && { by: plan.prefillId ?? 'whole', copyFrom: plan.copyFromId ?? 'none' };
+    };
+    expect([
+      describe(holder, prefill, decode),
+      describe({ ...holder, waitMs: 0 }, prefill, decode),
+      describe({ ...holder, cachedTokens: 500 }, prefill, decode),
+    ]).to.deep.equal([
+      { by: 'p', copyFrom: 'holder' },
+      { by: 'holder', copyFrom: 'none' },
+      { by: 'p', copyFrom: 'none' },
+    ]);
+  });
+
   it('hands over inside the domain of the prefill engine', () => {
     const far = { domain: 'b' };
     const held = engine('p', { stage: 'prefill', ...far, cachedTokens: 13_300 });
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -147,6 +147,7 @@
         lastEventId: '12',
         priority: 11,
         prefillOnly: false,
+        copyFromAddress: '10.0.0.2:80',
         kvSource: { address: '10.0.0.1:80', handle: 'k' },
       }),
     ).toMatchSnapshot();
