Order half of the engines to prefill, share what cannot be reached, refuse what is unlikely to come in time

Change: a share of a half is kept on prefill; each engine is ordered at most once in a run, by the one node that has claimed the right to in the store, so no lease is needed and no late order can conflict. Change: refused at once when the first token is expected after half of the time that is left. Unreachable endpoints. Change: peers are told; after a rest one request tries; 300 ms. Cause: a refused connection threw in NoticeLink, so each peer that restarted used up restarts of the supervisor. Change: it waits for the close.

--- a/packages/rhubarbcroft/src/dispatch/CrashJudge.ts
+++ b/packages/rhubarbcroft/src/dispatch/CrashJudge.ts
@@ -18,6 +18,8 @@
   readonly publish: (evidence: readonly CrashEvidence[]) => void;
 }
 
+const NOT_STARTED: ReadonlySet<AttemptFailure['kind']> = new Set(['unsent', 'rejected', 'invalid']);
+
 type Finding = 'crashed' | 'connectionLost' | 'notStarted';
 
 export default class CrashJudge {
@@ -30,27 +32,32 @@
   }
 
   async judge(endpointId: string, failure: AttemptFailure): Promise<Finding> {
-    if (failure.kind === 'rejected') {
+    if (NOT_STARTED.has(failure.kind)) {
       // A full engine answers; ejecting it would only press the load onto the others.
-      return 'notStarted';
-    }
-    if (failure.kind === 'unsent' || failure.kind === 'invalid') {
-      this.#recordFailure(endpointId);
+      if (failure.kind !== 'rejected') {
+        this.#recordFailure(endpointId);
+      }
       return 'notStarted';
     }
     const entry = this.#options.registry.get(endpointId);
     const bootId = entry?.state.report?.bootId ?? 'unknown';
     const running = entry?.state.inFlight.map((sent) => sent.fingerprint) ?? [];
-    const load = await entry?.engine?.readLoad();
-    if (load?.isOk === true && load.value.bootId === bootId) {
+    if ((await this.#readBootId(endpointId)) === bootId) {
       return 'connectionLost';
     }
     this.#recordFailure(endpointId);
+    this.#recordCrash(endpointId, bootId, running);
+    return 'crashed';
+  }
+
+  /** The run that an engine says it is in, over a new connection; undefined when it does not answer. */
+  async #readBootId(endpointId: string): Promise<string | undefined> {
+    const entry = this.#options.registry.get(endpointId);
+    const load = await entry?.engine?.readLoad();
     if (load?.isErr === true) {
       entry?.state.recordFailedRead(load.error);
     }
-    this.#recordCrash(endpointId, bootId, running);
-    return 'crashed';
+    return load?.isOk === true ? load.value.bootId : undefined;
   }
 
   /** Several attempts may report the same crash; the first one judges for all that ran. */
--- a/packages/rhubarbcroft/src/exchange/PromptNotifier.ts
+++ b/packages/rhubarbcroft/src/exchange/EndpointNotifier.ts
@@ -1,12 +1,15 @@
 /**
  * Tells the peers which prompts this node has sent to which engines, so that all reckon with the same
- * queues and caches. Each peer has a link of its own; in a large fleet only some peers are told.
+ * queues and caches, and which endpoints it could not reach, so that not each node has to wait for a
+ * connection to find out. Each peer has a link of its own; in a large fleet only some peers are told.
  */
 import BatchNotifier from '../peers/BatchNotifier.js';
 import type Clock from '../supervision/Clock.js';
 import type Supervisor from '../supervision/Supervisor.js';
 import type KnowledgeBase from './KnowledgeBase.js';
+import type KnowledgeMessage from './KnowledgeMessage.js';
 import NoticeLink from './NoticeLink.js';
+import type EndpointNotice from './EndpointNotice.js';
 import type PromptNotice from './PromptNotice.js';
 import createKnowledgeCodec from './createKnowledgeCodec.js';
 
@@ -15,8 +18,16 @@
 /** As many peers as the larger of today's fleets has, and some to be added. */
 const MAX_LINKS = 12;
 
-export default class PromptNotifier extends BatchNotifier<PromptNotice> {
-  override readonly name = 'prompt-notifier';
+type WireSend = Extract<KnowledgeMessage, { readonly type: 'notices' }>['sends'][number];
+
+function encodeSend(prompt: PromptNotice): WireSend {
+  const { instanceId, rank, prefillMs, outputTokens, sharedParts } = prompt;
+  const parts = sharedParts.flatMap(({ id, tokens }) => [id, tokens]);
+  return [instanceId, rank, prefillMs, outputTokens, ...parts];
+}
+
+export default class EndpointNotifier extends BatchNotifier<EndpointNotice> {
+  override readonly name = 'endpoint-notifier';
 
   readonly #base: KnowledgeBase;
 
@@ -32,17 +43,16 @@
     this.#supervisor = supervisor;
   }
 
-  protected override send(notices: readonly PromptNotice[]): void {
+  protected override send(notices: readonly EndpointNotice[]): void {
     this.#openLinks();
     const frame = this.#codec.encode({
-      type: 'sent',
-      sends: notices.map(({ instanceId, rank, prefillMs, outputTokens, sharedParts }) => [
-        instanceId,
-        rank,
-        prefillMs,
-        outputTokens,
-        ...sharedParts.flatMap(({ id, tokens }) => [id, tokens]),
-      ]),
+      type: 'notices',
+      sends: notices.flatMap((notice) =>
+        notice.type === 'sent' ? [encodeSend(notice.prompt)] : [],
+      ),
+      unreachable: notices.flatMap((notice) =>
+        notice.type === 'unreachable' ? [notice.instanceId] : [],
+      ),
     });
     this.#links.forEach((link) => link.send(frame));
   }
--- a/packages/rhubarbcroft/src/exchange/KnowledgeBase.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeBase.ts
@@ -93,6 +93,12 @@
     }
   }
 
+  /** A peer could not reach an endpoint. */
+  noteUnreachable(instanceId: string): void {
+    const { registry, clock } = this.#options;
+    registry.find(instanceId)?.health.recordSuspicion(clock.nowMs());
+  }
+
   /** Takes over what is newer than what is known here. Returns whether anything was. */
   learn({ routing, instances, isCurrent, nodes }: Knowledge): boolean {
     const { routing: holder, registry } = this.#options;
--- a/packages/rhubarbcroft/src/exchange/KnowledgeConnection.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeConnection.ts
@@ -11,7 +11,7 @@
 /** A connection on which nothing came for this long is dropped; a peer that has something to say opens another. */
 const SILENCE_TIMEOUT_MS = 15_000;
 
-type WireSend = Extract<KnowledgeMessage, { readonly type: 'sent' }>['sends'][number];
+type WireSend = Extract<KnowledgeMessage, { readonly type: 'notices' }>['sends'][number];
 
 function decodeSend([instanceId, rank, prefillMs, outputTokens, ...parts]: WireSend): PromptNotice {
   const sharedParts = [];
@@ -53,8 +53,9 @@
           if (message.type === 'ask') {
             this.#base.addNodes([message.address]);
             this.#socket.write(codec.encode({ type: 'tell', knowledge: this.#base.tell(message) }));
-          } else if (message.type === 'sent') {
+          } else if (message.type === 'notices') {
             message.sends.forEach((send) => this.#base.noteSend(decodeSend(send)));
+            message.unreachable.forEach((instanceId) => this.#base.noteUnreachable(instanceId));
           }
         });
       }
--- a/packages/rhubarbcroft/src/exchange/KnowledgeMessage.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeMessage.ts
@@ -11,9 +11,12 @@
       readonly address: string;
     }
   | { readonly type: 'tell'; readonly knowledge: Knowledge }
-  /** Prompts sent to engines since the last notice: instance, rank, prefill in ms, output tokens, ids and tokens of shared parts in turn. */
   | {
-      readonly type: 'sent';
+      readonly type: 'notices';
+      /**
+       * Prompts sent to engines since the last notices: instance, rank, prefill in ms, output tokens, ids and
+       * tokens of shared parts in turn.
+       */
       readonly sends: readonly (readonly [
         string,
         number,
@@ -21,6 +24,8 @@
         number,
         ...(string | number)[],
       ])[];
+      /** Instances that could not be reached since the last notices. */
+      readonly unreachable: readonly string[];
     };
 
 export default KnowledgeMessage;
--- a/packages/rhubarbcroft/src/exchange/NoticeLink.ts
+++ b/packages/rhubarbcroft/src/exchange/NoticeLink.ts
@@ -4,7 +4,6 @@
  */
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
-import { once } from 'node:events';
 import type Clock from '../supervision/Clock.js';
 import Task from '../supervision/Task.js';
 
@@ -67,7 +66,10 @@
     // The peer's end shows as an error or a close; either way the link connects anew.
     socket.on('error', close);
     socket.resume();
-    await once(socket, 'close');
+    // Not `once` of node:events, which throws on an error: a peer that is down is no failure of this task.
+    await new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
     clearTimeout(timer);
     signal.removeEventListener('abort', close);
     const opened = this.#socket === socket;
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -16,6 +16,7 @@
 import ProgressWatch from './ProgressWatch.js';
 import type StreamRelay from './StreamRelay.js';
 import noteSend from './noteSend.js';
+import noteUnreachable from './noteUnreachable.js';
 import readWholeBody from './readWholeBody.js';
 
 interface AttemptOptions {
@@ -65,7 +66,7 @@
       const detail = 'the endpoint began to leave during the prefill';
       return { type: 'failed', failure: { kind: 'unsent', detail }, ran: 'not_run' };
     }
-    target.begin();
+    target.begin(this.#context.clock.nowMs());
     this.#notePrompt(kvSource);
     const result = await this.#send(kvSource, signal);
     target.end();
@@ -215,6 +216,7 @@
 
   #noteAnswer(marks: AnswerMarks): void {
     const { target } = this.#options.placement;
+    target.health.recordContact(this.#context.clock.nowMs());
     if (marks.load !== undefined) {
       target.recordLoad(marks.load, this.#context.clock.nowMs());
     }
@@ -252,8 +254,10 @@
         health.recordError(nowMs);
       }
     } else if (result.failure.kind === 'unsent') {
-      target.noteUnreachable(nowMs);
-    } else if (result.failure.kind !== 'rejected') {
+      noteUnreachable(this.#context, target);
+    } else if (result.failure.kind === 'rejected') {
+      health.recordRejection(nowMs);
+    } else {
       health.recordBreak(nowMs);
     }
   }
--- a/packages/rhubarbcroft/src/forwarding/EndpointProtocol.ts
+++ b/packages/rhubarbcroft/src/forwarding/EndpointProtocol.ts
@@ -2,6 +2,9 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type Result from 'true-myth/result';
 import type AttemptFailure from '../endpoints/AttemptFailure.js';
+import type EndpointCall from '../instances/EndpointCall.js';
+import type Instance from '../instances/Instance.js';
+import type StageOrder from '../stages/StageOrder.js';
 import type AnswerMarks from './AnswerMarks.js';
 import type RequestMarks from './RequestMarks.js';
 import type SendInstructions from './SendInstructions.js';
@@ -23,6 +26,9 @@
   /** The handle in the answer to a prefill. */
   abstract readPrefillHandle(body: Buffer): Result<string, AttemptFailure>;
 
+  /** The call that orders an engine to another stage. */
+  abstract writeStageOrder(instance: Instance, order: StageOrder): EndpointCall;
+
   /** The path to which a DELETE frees the KV cache of a prefill. */
   abstract writeReleasePath(handle: string): string;
 }
--- a/packages/rhubarbcroft/src/forwarding/ForwardContext.ts
+++ b/packages/rhubarbcroft/src/forwarding/ForwardContext.ts
@@ -3,7 +3,7 @@
 import type EngineSpeeds from '../decisions/placement/EngineSpeeds.js';
 import type Place from '../decisions/placement/Place.js';
 import type FleetRetryBudget from '../decisions/retries/FleetRetryBudget.js';
-import type PromptNotice from '../exchange/PromptNotice.js';
+import type EndpointNotice from '../exchange/EndpointNotice.js';
 import type InstanceRegistry from '../instances/InstanceRegistry.js';
 import type RoutingHolder from '../routes/RoutingHolder.js';
 import type Clock from '../supervision/Clock.js';
@@ -17,8 +17,8 @@
   readonly protocol: EndpointProtocol;
   readonly retries: FleetRetryBudget;
   readonly speeds: EngineSpeeds;
-  /** Tells the peers of a prompt that was sent to an engine. */
-  readonly noteSent: (notice: PromptNotice) => void;
+  /** Tells the peers what this node has found of an endpoint. */
+  readonly tellPeers: (notice: EndpointNotice) => void;
   readonly metrics: Metrics;
   readonly clock: Clock;
   readonly log: Logger;
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -50,6 +50,12 @@
 const RETRY_AFTER_MS = 300;
 /** Callers heed a time to come back of up to a third of what they have left. */
 const MAX_RETRY_AFTER_FRACTION = 0.3;
+/**
+ * The share of the time left within which a first token must be expected. More urgent work that comes later
+ * overtakes what waits at an engine, so a wait is as likely to double as not; what would come in the second
+ * half mostly expires there and holds up others.
+ */
+const FORESEEABLE_FRACTION = 0.5;
 /** A stream that is late for its target may still be served: a run that is cut has been prefilled in vain. */
 const STREAM_PATIENCE_TARGETS = 3;
 const FIRST_SERVER_ERROR = 500;
@@ -123,13 +129,14 @@
   /** Refuses at its arrival a request whose first token cannot come before its time is over. */
   #refuseHopeless(request: ForwardRequest, placement: Placement): Failure | undefined {
     const leftMs = request.expiresAtMs - this.#options.context.clock.nowMs();
-    if (placement.expectedMs <= leftMs) {
+    const overdueMs = placement.expectedMs - leftMs * FORESEEABLE_FRACTION;
+    if (overdueMs <= 0) {
       return undefined;
     }
     const expectedMs = Math.round(placement.expectedMs);
     const detail = `the first token is expected in ${expectedMs} ms, and ${Math.round(leftMs)} ms are left`;
     const retryAfterMs = Math.round(
-      Math.min(placement.expectedMs - leftMs, leftMs * MAX_RETRY_AFTER_FRACTION),
+      Math.min(Math.max(overdueMs, RETRY_AFTER_MS), leftMs * MAX_RETRY_AFTER_FRACTION),
     );
     return createFailure('DEADLINE_UNREACHABLE', detail, 'not_run', retryAfterMs);
   }
--- a/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -15,6 +15,7 @@
 import type Placement from './Placement.js';
 import ProgressWatch from './ProgressWatch.js';
 import noteSend from './noteSend.js';
+import noteUnreachable from './noteUnreachable.js';
 import readWholeBody from './readWholeBody.js';
 
 /** A prefill may take this many times what is expected, and this much more, before the target does it itself. */
@@ -62,7 +63,7 @@
     const attemptId = randomUUID();
     const startedAtMs = clock.nowMs();
     const wasIdle = prefill.queue.length === 0;
-    prefill.begin();
+    prefill.begin(startedAtMs);
     noteSend(this.#context, this.#request, prefill, {
       attemptId,
       prefillMs,
@@ -77,7 +78,7 @@
     prefill.end();
     if (handle.isErr) {
       prefill.dropPrompt(attemptId);
-      PrefillCall.#judge(prefill, handle.error, nowMs, signal);
+      this.#judge(prefill, handle.error, signal);
       const { kind, detail } = handle.error;
       this.#wasTurnedAway = kind !== 'unsent';
       log.info({ requestId: id, instance: prefill.instance.id, kind, detail }, 'prefill failed');
@@ -148,6 +149,7 @@
     }
     const { status, rawHeaders: answered, body: answerBody } = sent.value;
     const marks = protocol.readAnswer(status, answered);
+    prefill.health.recordContact(clock.nowMs());
     if (marks.load !== undefined) {
       prefill.recordLoad(marks.load, clock.nowMs());
     }
@@ -188,18 +190,16 @@
     connection.close();
   }
 
-  static #judge(
-    prefill: InstanceState,
-    failure: AttemptFailure,
-    nowMs: number,
-    signal: AbortSignal,
-  ): void {
+  #judge(prefill: InstanceState, failure: AttemptFailure, signal: AbortSignal): void {
     if (signal.aborted) {
       return;
     }
+    const nowMs = this.#context.clock.nowMs();
     if (failure.kind === 'unsent') {
-      prefill.noteUnreachable(nowMs);
-    } else if (failure.kind !== 'rejected') {
+      noteUnreachable(this.#context, prefill);
+    } else if (failure.kind === 'rejected') {
+      prefill.health.recordRejection(nowMs);
+    } else {
       prefill.health.recordBreak(nowMs);
     }
   }
--- a/packages/rhubarbcroft/src/forwarding/noteSend.ts
+++ b/packages/rhubarbcroft/src/forwarding/noteSend.ts
@@ -13,7 +13,7 @@
 }
 
 export default function noteSend(
-  { clock, noteSent }: ForwardContext,
+  { clock, tellPeers }: ForwardContext,
   { prompt, route }: ForwardRequest,
   engine: InstanceState,
   { attemptId, prefillMs, generates, expectedMs }: SentWork,
@@ -28,11 +28,14 @@
   }
   engine.lateness.begin(attemptId, { rank, endsAtMs: sentAtMs + expectedMs });
   engine.cache.touch(prompt.parts);
-  noteSent({
-    instanceId: engine.instance.id,
-    rank,
-    prefillMs: Math.round(prefillMs),
-    outputTokens: generates ? Math.max(1, Math.round(prompt.outputTokens)) : 0,
-    sharedParts: prompt.parts.slice(0, -1),
+  tellPeers({
+    type: 'sent',
+    prompt: {
+      instanceId: engine.instance.id,
+      rank,
+      prefillMs: Math.round(prefillMs),
+      outputTokens: generates ? Math.max(1, Math.round(prompt.outputTokens)) : 0,
+      sharedParts: prompt.parts.slice(0, -1),
+    },
   });
 }
--- a/packages/rhubarbcroft/src/gateway/GatewaySources.ts
+++ b/packages/rhubarbcroft/src/gateway/GatewaySources.ts
@@ -4,11 +4,13 @@
 import type EndpointProtocol from '../forwarding/EndpointProtocol.js';
 import type Instance from '../instances/Instance.js';
 import type RoutingDocument from '../routes/RoutingDocument.js';
+import type StageRights from '../stages/StageRights.js';
 
 interface GatewaySources {
   readonly routing: ChangeFeed<RoutingDocument>;
   readonly instances: ChangeFeed<Instance>;
   readonly nodes: NodeList;
+  readonly rights: StageRights;
   readonly protocol: EndpointProtocol;
 }
 
--- a/packages/rhubarbcroft/src/gateway/createGateway.ts
+++ b/packages/rhubarbcroft/src/gateway/createGateway.ts
@@ -17,7 +17,7 @@
 import KnowledgeConnection from '../exchange/KnowledgeConnection.js';
 import KnowledgeSeeker from '../exchange/KnowledgeSeeker.js';
 import NodeAnnouncer from '../exchange/NodeAnnouncer.js';
-import PromptNotifier from '../exchange/PromptNotifier.js';
+import EndpointNotifier from '../exchange/EndpointNotifier.js';
 import EngineChooser from '../forwarding/EngineChooser.js';
 import type ForwardContext from '../forwarding/ForwardContext.js';
 import Forwarder from '../forwarding/Forwarder.js';
@@ -29,6 +29,7 @@
 import RoutingConsumer from '../routes/RoutingConsumer.js';
 import type RoutingDocument from '../routes/RoutingDocument.js';
 import RoutingHolder from '../routes/RoutingHolder.js';
+import StageKeeper from '../stages/StageKeeper.js';
 import Supervisor from '../supervision/Supervisor.js';
 import SystemClock from '../supervision/SystemClock.js';
 import PrometheusMetrics from '../telemetry/PrometheusMetrics.js';
@@ -44,8 +45,8 @@
   readonly shutdown: AbortSignal;
 }
 
-/** A connection across regions takes 60 ms on the users' sheet; a dead machine never answers. */
-const CONNECT_TIMEOUT_MS = 500;
+/** A connection across regions takes 60 ms on the users' sheet, and a tenth of a second more on a full core; a dead machine never answers. */
+const CONNECT_TIMEOUT_MS = 300;
 /** How long the listener goes on accepting: two probes of the balancer, a second apart, and their answers. */
 const LAME_DUCK_MS = 3_000;
 /** The largest head that the parser takes; the operator's own limit is lower. */
@@ -97,7 +98,7 @@
 function createContext(
   { settings, sources, log }: GatewayOptions,
   { routing, registry, base }: Known,
-  notifier: PromptNotifier,
+  notifier: EndpointNotifier,
   metrics: PrometheusMetrics,
   clock: SystemClock,
 ): ForwardContext {
@@ -114,7 +115,7 @@
     }),
     speeds: new EngineSpeeds(),
     metrics,
-    noteSent: (notice) => notifier.add(notice),
+    tellPeers: (notice) => notifier.add(notice),
     clock,
     log,
   };
@@ -188,7 +189,7 @@
   const clock = new SystemClock();
   const known = createKnown(options, clock);
   const peers = new Supervisor('peers', clock, log);
-  const notifier = new PromptNotifier(known.base, peers, clock);
+  const notifier = new EndpointNotifier(known.base, peers, clock);
   const metrics = new PrometheusMetrics();
   const context = createContext(options, known, notifier, metrics, clock);
   const { peerAddress } = settings;
@@ -206,6 +207,18 @@
       new KnowledgeSeeker(known.base, clock, log),
       new NodeAnnouncer(sources.nodes, known.base, { address: peerAddress, clock, log }),
     ),
+    new Supervisor('orders', clock, log).plan(
+      new StageKeeper({
+        registry: known.registry,
+        routing: known.routing,
+        rights: sources.rights,
+        protocol: sources.protocol,
+        listNodes: () => [...known.base.nodes, peerAddress],
+        address: peerAddress,
+        clock,
+        log,
+      }),
+    ),
     planProbes(options, known, metrics, clock),
     planCallers(options, known, context, clock),
   );
--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -11,14 +11,7 @@
 import { err, ok } from 'true-myth/result';
 import type Result from 'true-myth/result';
 import type AttemptFailure from '../endpoints/AttemptFailure.js';
-
-interface EndpointCall {
-  readonly method: string;
-  readonly path: string;
-  /** Names and values in turn. */
-  readonly headers: readonly string[];
-  readonly body: Buffer | undefined;
-}
+import type EndpointCall from './EndpointCall.js';
 
 interface EndpointAnswer {
   readonly status: number;
--- a/packages/rhubarbcroft/src/instances/InstanceState.ts
+++ b/packages/rhubarbcroft/src/instances/InstanceState.ts
@@ -72,7 +72,8 @@
     this.#instance = instance;
   }
 
-  begin(): void {
+  begin(nowMs: number): void {
+    this.health.beginTrial(nowMs);
     this.#inFlight += 1;
   }
 
--- a/test/forwarding/attempt.test.ts
+++ b/test/forwarding/attempt.test.ts
@@ -58,7 +58,7 @@
       countNodes: () => 1,
     }),
     speeds: new EngineSpeeds(),
-    noteSent: () => undefined,
+    tellPeers: () => undefined,
     metrics: new SilentMetrics(),
     clock,
     log,
--- a/test/platform/standins/StoreStandin.ts
+++ b/test/platform/standins/StoreStandin.ts
@@ -12,6 +12,11 @@
   readonly tombstone?: boolean;
 }
 
+interface Write {
+  readonly puts: readonly StoredRow[];
+  readonly expectedRevision: readonly StoredRow[];
+}
+
 type Trouble = 'none' | 'busy' | 'reset' | 'silent';
 
 async function readJson(request: IncomingMessage): Promise<Record<string, unknown>> {
@@ -117,7 +122,16 @@
     } else if (url.pathname === '/api/rows-feed') {
       await this.#feed(table, url, response);
     } else {
-      const { puts } = (await readJson(request)) as { readonly puts: readonly StoredRow[] };
+      const { puts, expectedRevision } = (await readJson(request)) as unknown as Write;
+      const stale = expectedRevision.filter(({ table: name, key, ver }) => {
+        const row = this.#rows.get(`${name}/${key}`);
+        return (row === undefined || row.tombstone === true ? 0 : row.ver) !== ver;
+      });
+      if (stale.length > 0) {
+        const rows = stale.map(({ table: name, key }) => this.#rows.get(`${name}/${key}`));
+        StoreStandin.#send(response, 412, { rows, ver: this.#ver, nowMs: 0 });
+        return;
+      }
       puts.forEach(({ table: name, key, value }) =>
         this.put(name, key, Buffer.from(value ?? '', 'base64').toString('utf8')),
       );
--- a/test/platform/standins/startGateway.ts
+++ b/test/platform/standins/startGateway.ts
@@ -4,6 +4,7 @@
 import PlatformProtocol from '@rhubarbcroft/platform/PlatformProtocol';
 import RoutingFeed from '@rhubarbcroft/platform/RoutingFeed';
 import StoreNodeList from '@rhubarbcroft/platform/StoreNodeList';
+import StoreStageRights from '@rhubarbcroft/platform/StoreStageRights';
 import createGateway from 'rhubarbcroft/gateway/createGateway';
 import PlatformClient from 'rhubarbcroft/store/PlatformClient';
 import allocatePorts from '@rhubarbcroft/standins/fleet/allocatePorts';
@@ -62,6 +63,7 @@
       routing: new RoutingFeed(store, log),
       instances: new InstanceFeed(store, log),
       nodes: new StoreNodeList(store),
+      rights: new StoreStageRights(store, 'test'),
       protocol: new PlatformProtocol(),
     },
     log,
