Copy from engines that leave, believe homes less for copies, spread notices, and soak the platform's program

Change: a copy from an assumed home counts for less than reading there; engines that leave or have just started are taken for what they hold; each node tells twelve peers of its own.

--- a/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
@@ -48,8 +48,8 @@
 /** The engines that hold the most of a prompt, the best first. */
 function listHolders(candidates: readonly EngineCandidate[]): readonly EngineCandidate[] {
   return candidates
-    .filter(({ cachedTokens }) => cachedTokens > 0)
-    .sort((a, b) => b.cachedTokens - a.cachedTokens)
+    .filter(({ copyableTokens }) => copyableTokens > 0)
+    .sort((a, b) => b.copyableTokens - a.copyableTokens)
     .slice(0, MAX_HOLDERS);
 }
 
@@ -69,10 +69,12 @@
 
   override choose(prompt: Prompt, candidates: readonly EngineCandidate[]): PromptPlan | undefined {
     const holders = listHolders(candidates);
-    const prefillers = candidates.map((candidate) => ({
-      candidate,
-      copy: this.#chooseCopy(prompt, candidate, holders),
-    }));
+    const prefillers = candidates
+      .filter(({ takesWork }) => takesWork)
+      .map((candidate) => ({
+        candidate,
+        copy: this.#chooseCopy(prompt, candidate, holders),
+      }));
     const generating = prefillers.filter(({ candidate }) => candidate.stage === 'decode');
     const plans = [
       ...generating.map((prefiller) => this.#planWhole(prompt, prefiller)),
@@ -97,7 +99,7 @@
     let best = NO_COPY;
     let leastMs = aloneMs + (prompt.promptTokens - candidate.cachedTokens) * rereadMsPerToken;
     holders.forEach((holder) => {
-      const tokens = holder.cachedTokens - candidate.cachedTokens;
+      const tokens = holder.copyableTokens - candidate.cachedTokens;
       if (holder.id === candidate.id || tokens < copyMinTokens) {
         return;
       }
--- a/packages/rhubarbcroft/src/discovery/FeedReader.ts
+++ b/packages/rhubarbcroft/src/discovery/FeedReader.ts
@@ -14,9 +14,9 @@
 const RETRY_MAX_MS = 1_000;
 /**
  * The least time between two calls that bring changes: in a burst of changes one call brings many, and what
- * is known half a second later is still in force well within the platform's bounds (3 s).
+ * is known a second later is still in force well within the platform's bounds (3 s).
  */
-const MIN_SPACING_MS = 500;
+const MIN_SPACING_MS = 1_000;
 
 export default class FeedReader<Value> extends Task {
   override readonly name: string;
--- a/packages/rhubarbcroft/src/exchange/EndpointNotifier.ts
+++ b/packages/rhubarbcroft/src/exchange/EndpointNotifier.ts
@@ -1,8 +1,10 @@
 /**
  * Tells the peers which prompts this node has sent to which engines, so that all reckon with the same
  * queues and caches, and which endpoints it could not reach, so that not each node has to wait for a
- * connection to find out. Each peer has a link of its own; in a large fleet only some peers are told.
+ * connection to find out. Each peer has a link of its own; in a large fleet only some peers are told, others
+ * by each node, so that all know about as much.
  */
+import orderByHash from '../decisions/orderByHash.js';
 import BatchNotifier from '../peers/BatchNotifier.js';
 import type Clock from '../supervision/Clock.js';
 import type Supervisor from '../supervision/Supervisor.js';
@@ -58,7 +60,10 @@
   }
 
   #openLinks(): void {
-    this.#base.nodes.forEach((address) => {
+    if (this.#links.size === MAX_LINKS || this.#links.size === this.#base.nodes.length) {
+      return;
+    }
+    orderByHash(this.#base.address, this.#base.nodes).forEach((address) => {
       if (!this.#links.has(address) && this.#links.size < MAX_LINKS) {
         const link = new NoticeLink(address, this.clock);
         this.#links.set(address, link);
--- a/packages/rhubarbcroft/src/exchange/KnowledgeBase.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeBase.ts
@@ -35,6 +35,11 @@
     return routing.current !== undefined && registry.version > 0;
   }
 
+  /** This node's own address for peers. */
+  get address(): string {
+    return this.#options.address;
+  }
+
   /** Whether the store tells this node of changes, so that peers need not be asked. */
   get isCurrent(): boolean {
     return this.#options.isCurrent();
--- a/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
+++ b/packages/rhubarbcroft/src/forwarding/EngineChooser.ts
@@ -1,7 +1,7 @@
 /**
- * Chooses the engines of a prompt. What an engine's cache holds is known from this node's own sends; for
- * a shared part that this node has not sent yet, its home by rendezvous hashing is taken to hold it
- * already, since the other nodes of the domain send there too.
+ * Chooses the engines of a prompt. What an engine's cache holds is known from this node's own sends and its
+ * peers' notices; for a shared part that neither tells of, its home by rendezvous hashing is taken to hold
+ * it already, since the other nodes send there too. Engines that leave are still copied from.
  */
 import chooseHome from '../decisions/placement/chooseHome.js';
 import type EngineCandidate from '../decisions/placement/EngineCandidate.js';
@@ -18,6 +18,13 @@
 
 /** How far it is believed that a home holds a part which this node has not sent there. */
 const HOME_TRUST = 0.8;
+/**
+ * How far a copy from a home is counted on beside that: where nobody is known to hold a part, it is better
+ * read at its home, where the other nodes look for it, than copied away from it.
+ */
+const COPY_TRUST = 0.6;
+/** By when an engine has been asked for most of the parts that it is the home of: they come back in about this time. */
+const SETTLED_MS = 10_000;
 /** The share of homes that an engine gets, by how fast it prefills. */
 const HOME_WEIGHTS = { prefill: 1, decode: 0.25 } as const;
 
@@ -43,52 +50,70 @@
       return undefined;
     }
     const states = listUsable(registry, service, failedIds, clock.nowMs());
-    const homeId = this.#findHome(prompt, states);
     // Only the first prefill of a request is free of the retry budget: later attempts go to one engine.
     const allowed =
       sends === 0 ? states : states.filter(({ instance }) => instance.stage !== 'prefill');
-    const candidates = allowed.map((state) =>
-      this.#describe(state, prompt, route.rank, state.instance.id === homeId),
-    );
-    const plan = this.#placement.choose(prompt, candidates);
+    const leaving = registry.listLeaving(service);
+    const holderId = this.#findHolder(prompt, [...registry.listAvailable(service), ...leaving]);
+    const describe = (state: InstanceState): EngineCandidate =>
+      this.#describe(state, prompt, route.rank, state.instance.id === holderId);
+    const plan = this.#placement.choose(prompt, [
+      ...allowed.map(describe),
+      ...leaving.map((state) => ({ ...describe(state), takesWork: false })),
+    ]);
     const target = states.find(({ instance }) => instance.id === plan?.engineId);
     if (plan === undefined || target === undefined) {
       return undefined;
     }
     const prefill = states.find(({ instance }) => instance.id === plan.prefillId);
-    const copyFrom = states.find(({ instance }) => instance.id === plan.copyFromId);
+    const copyFrom = plan.copyFromId === undefined ? undefined : registry.find(plan.copyFromId);
     const { prefillMs, expectedFirstTokenMs: expectedMs } = plan;
     return { target, prefill, copyFrom, prefillMs, expectedMs };
   }
 
-  #findHome(prompt: Prompt, states: readonly InstanceState[]): string | undefined {
+  /**
+   * The engine that is taken to hold the shared parts: their home among those that have run for a while. One
+   * that has just started holds nothing yet, and what it is to be the home of is still where it was.
+   */
+  #findHolder(prompt: Prompt, states: readonly InstanceState[]): string | undefined {
     const shared = listShared(prompt).at(-1);
     if (shared === undefined) {
       return undefined;
     }
-    const homes = states.map(({ instance }) => ({
-      id: instance.id,
-      weight: HOME_WEIGHTS[instance.stage ?? 'decode'],
-    }));
+    const settledBeforeMs = this.#context.clock.unixMs() - SETTLED_MS;
+    const homes = states
+      .filter(({ instance }) => instance.startedAtMs < settledBeforeMs)
+      .map(({ instance }) => ({
+        id: instance.id,
+        weight: HOME_WEIGHTS[instance.stage ?? 'decode'],
+      }));
     return chooseHome(shared.id, homes);
   }
 
-  #describe(state: InstanceState, prompt: Prompt, rank: number, isHome: boolean): EngineCandidate {
+  #describe(
+    state: InstanceState,
+    prompt: Prompt,
+    rank: number,
+    isHolder: boolean,
+  ): EngineCandidate {
     const { clock } = this.#context;
     const nowMs = clock.nowMs();
     const { instance } = state;
     const stage = instance.stage ?? 'decode';
     const sharedTokens = listShared(prompt).reduce((sum, { tokens }) => sum + tokens, 0);
-    const assumedTokens = isHome ? sharedTokens * HOME_TRUST : 0;
+    const knownTokens = state.cache.countCached(prompt.parts);
+    const assumedTokens = isHolder ? sharedTokens * HOME_TRUST : 0;
     return {
       id: instance.id,
       domain: instance.domain,
       stage,
+      takesWork: true,
       slots: instance.slots,
       running: state.estimateRunning(nowMs),
       waitMs: state.estimateWaitMs(rank, nowMs),
       prefillingMs: state.queue.readWaitMs(Infinity, nowMs),
-      cachedTokens: Math.max(assumedTokens, state.cache.countCached(prompt.parts)),
+      cachedTokens: Math.max(assumedTokens, knownTokens),
+      copyableTokens: Math.max(assumedTokens * COPY_TRUST, knownTokens),
       failureShare: state.health.readFailureShare(nowMs),
     };
   }
--- a/packages/rhubarbcroft/src/instances/InstanceRegistry.ts
+++ b/packages/rhubarbcroft/src/instances/InstanceRegistry.ts
@@ -102,6 +102,13 @@
       .filter(({ instance }) => instance.service === service && !instance.isLeaving);
   }
 
+  /** The instances of a service that are leaving: they take nothing new, but still hold what they had. */
+  listLeaving(service: string): readonly InstanceState[] {
+    return [...this.#entries.values()]
+      .map(({ state }) => state)
+      .filter(({ instance }) => instance.service === service && instance.isLeaving);
+  }
+
   find(id: string): InstanceState | undefined {
     return this.#entries.get(id)?.state;
   }
--- a/packages/rhubarbcroft/src/supervision/Clock.ts
+++ b/packages/rhubarbcroft/src/supervision/Clock.ts
@@ -2,6 +2,9 @@
 abstract class Clock {
   abstract nowMs(): number;
 
+  /** The time of day in Unix milliseconds. It may jump, so it only serves to tell roughly how old something is. */
+  abstract unixMs(): number;
+
   /** Resolves after `delayMs`, or at once when the signal aborts; it never rejects. */
   abstract sleep(delayMs: number, signal?: AbortSignal): Promise<void>;
 }
--- a/packages/rhubarbcroft/src/supervision/SystemClock.ts
+++ b/packages/rhubarbcroft/src/supervision/SystemClock.ts
@@ -7,6 +7,10 @@
     return performance.now();
   }
 
+  override unixMs(): number {
+    return Date.now();
+  }
+
   override sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
       if (signal?.aborted === true) {
--- a/packages/standins/src/fleet/Program.ts
+++ b/packages/standins/src/fleet/Program.ts
@@ -7,6 +7,8 @@
   readonly script: string;
   readonly args: readonly string[];
   readonly nodeOptions?: readonly string[];
+  /** Variables beside those of this process. */
+  readonly env?: Readonly<Record<string, string>>;
 }
 
 type LogLine = Readonly<Record<string, unknown>>;
@@ -29,9 +31,10 @@
 
   #waiters: readonly (() => void)[] = [];
 
-  constructor({ script, args, nodeOptions = [] }: ProgramOptions) {
+  constructor({ script, args, nodeOptions = [], env = {} }: ProgramOptions) {
     this.#child = spawn(process.execPath, [...nodeOptions, script, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, ...env },
     });
     this.#exited = new Promise((resolve) => {
       this.#child.once('exit', (code) => resolve(code));
--- /dev/null
+++ b/soak/SoakCaller.ts
@@ -0,0 +1,81 @@
+/**
+ * One caller of the soak: it keeps a connection to its node open for as long as the node does, asks one thing
+ * after the other, and tells the evidence how each ended.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Client } from 'undici';
+import type Evidence from './Evidence.js';
+import type SoakNode from './SoakNode.js';
+
+const PATHS = ['/read/x', '/book/x', '/audit/x', '/verdict/x'];
+const PAUSE_MS = 25;
+/** A caller waits longer than the system may take, so that it sees a late answer as one. */
+const PATIENCE_MS = 8_000;
+const DEADLINE_MS = 6_000;
+
+export default class SoakCaller {
+  readonly #name: string;
+
+  readonly #node: SoakNode;
+
+  readonly #evidence: Evidence;
+
+  constructor(name: string, node: SoakNode, evidence: Evidence) {
+    this.#name = name;
+    this.#node = node;
+    this.#evidence = evidence;
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const client = new Client(this.#node.callerUrl, { keepAliveTimeout: PATIENCE_MS });
+    for (let count = 0; !signal.aborted; count += 1) {
+      await this.#ask(client, `${this.#name}-${count}`, PATHS[count % PATHS.length]);
+      await sleep(PAUSE_MS);
+    }
+    await client.close();
+  }
+
+  async #ask(client: Client, requestId: string, path: string): Promise<void> {
+    const sentAtMs = performance.now();
+    let status: number | undefined;
+    let signature: string | undefined;
+    let body = '';
+    let isComplete = false;
+    try {
+      const response = await client.request({
+        method: path.startsWith('/read') ? 'GET' : 'POST',
+        path,
+        headers: {
+          host: 'shop.example',
+          'x-request-id': requestId,
+          'x-deadline-ms': String(DEADLINE_MS),
+          'x-kv-hold': 'smuggled',
+          'x-model': 'm',
+          'x-token-count': '900,40',
+          'x-prefix-hash': `shared:500,${requestId}:400`,
+        },
+        body: path.startsWith('/read') ? null : '',
+        signal: AbortSignal.timeout(PATIENCE_MS),
+      });
+      status = response.statusCode;
+      signature = response.headers['x-response-seal'] as string | undefined;
+      for await (const chunk of response.body) {
+        body += String(chunk);
+      }
+      isComplete = true;
+    } catch {
+      // How far the answer came is in the record; what ended it is for the checks to judge.
+    }
+    this.#evidence.recordAnswer({
+      requestId,
+      path,
+      node: this.#node.name,
+      sentAtMs,
+      endedAtMs: performance.now(),
+      status,
+      signature,
+      body,
+      isComplete,
+    });
+  }
+}
--- a/test/support/ManualClock.ts
+++ b/test/support/ManualClock.ts
@@ -8,6 +8,10 @@
     return this.#nowMs;
   }
 
+  override unixMs(): number {
+    return this.#nowMs;
+  }
+
   override async sleep(delayMs: number): Promise<void> {
     this.#nowMs += delayMs;
   }
