Follow the store through one node of a large domain

Change: in domains of five nodes or more all but one listen to a neighbour, which polls in calls of a second and tells its followers four times a second what it knows and that it still hears from the store; silence of a second, or word that it does not hear, sends them to the store. Calls with changes come a second apart.

--- a/packages/rhubarbcroft/src/discovery/ChangeFeed.ts
+++ b/packages/rhubarbcroft/src/discovery/ChangeFeed.ts
@@ -10,12 +10,14 @@
 
   /**
    * Waits for changes after a version; the page is empty when none came in time. Resolves with
-   * `expired` when the store no longer has the history from there, so that the table must be listed.
+   * `expired` when the store no longer has the history from there, and with `unsure` when changes may have
+   * been missed; either way the table must be listed. A short wait shows sooner that the store is away.
    */
   abstract waitForChanges(
     afterVersion: number,
     signal: AbortSignal,
-  ): Promise<Result<FeedPage<Value> | 'expired', Failure>>;
+    wait?: 'short' | 'long',
+  ): Promise<Result<FeedPage<Value> | 'expired' | 'unsure', Failure>>;
 }
 
 export default ChangeFeed;
--- a/packages/rhubarbcroft/src/discovery/FeedReader.ts
+++ b/packages/rhubarbcroft/src/discovery/FeedReader.ts
@@ -93,6 +93,10 @@
       return false;
     }
     this.#noteAnswer();
+    if (page.value === 'unsure') {
+      this.#version = undefined;
+      return true;
+    }
     if (page.value === 'expired') {
       this.#log.warn({ feed: this.#feed.name, version }, 'history is gone; listing the table anew');
       this.#version = undefined;
--- /dev/null
+++ b/packages/rhubarbcroft/src/exchange/FollowedFeed.ts
@@ -0,0 +1,49 @@
+/**
+ * A feed of the store that is left alone while a neighbour tells this node what it says. A node that others
+ * follow polls in short calls, so that it notices soon when it no longer hears from the store.
+ */
+import { ok } from 'true-myth/result';
+import type Result from 'true-myth/result';
+import type Failure from '@rhubarbcroft/protocol/results/Failure';
+import ChangeFeed from '../discovery/ChangeFeed.js';
+import type FeedPage from '../discovery/FeedPage.js';
+import type KnowledgeBase from './KnowledgeBase.js';
+import type LeaderLink from './LeaderLink.js';
+
+interface FollowedFeedOptions<Value> {
+  readonly feed: ChangeFeed<Value>;
+  readonly base: KnowledgeBase;
+  readonly leader: LeaderLink;
+  /** Whether the leader knows of something newer that only the store itself tells. */
+  readonly isBehind: () => boolean;
+}
+
+export default class FollowedFeed<Value> extends ChangeFeed<Value> {
+  override readonly name: string;
+
+  readonly #options: FollowedFeedOptions<Value>;
+
+  constructor(options: FollowedFeedOptions<Value>) {
+    super();
+    this.#options = options;
+    this.name = options.feed.name;
+  }
+
+  override list(signal: AbortSignal): Promise<Result<FeedPage<Value>, Failure>> {
+    return this.#options.feed.list(signal);
+  }
+
+  override async waitForChanges(
+    afterVersion: number,
+    signal: AbortSignal,
+  ): Promise<Result<FeedPage<Value> | 'expired' | 'unsure', Failure>> {
+    const { feed, base, leader, isBehind } = this.#options;
+    if (!leader.isFollowing) {
+      return feed.waitForChanges(afterVersion, signal, base.hasFollowers ? 'short' : 'long');
+    }
+    while (leader.isFollowing && !isBehind() && !signal.aborted) {
+      await leader.waitForNews(signal);
+    }
+    return ok('unsure');
+  }
+}
--- a/packages/rhubarbcroft/src/exchange/KnowledgeBase.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeBase.ts
@@ -1,21 +1,25 @@
 /** What this node knows from the store and its peers, as one thing that can be told and learnt. */
+import type FeedPage from '../discovery/FeedPage.js';
+import type Instance from '../instances/Instance.js';
 import type InstanceRegistry from '../instances/InstanceRegistry.js';
 import type RoutingHolder from '../routes/RoutingHolder.js';
 import type Clock from '../supervision/Clock.js';
+import type KnownNode from './KnownNode.js';
 import type Knowledge from './Knowledge.js';
 import type KnowledgeMessage from './KnowledgeMessage.js';
 import type PromptNotice from './PromptNotice.js';
 
 type Ask = Extract<KnowledgeMessage, { readonly type: 'ask' }>;
+type Follow = Extract<KnowledgeMessage, { readonly type: 'follow' }>;
+type Pulse = Extract<KnowledgeMessage, { readonly type: 'pulse' }>;
 
 interface KnowledgeBaseOptions {
   readonly routing: RoutingHolder;
   readonly registry: InstanceRegistry;
   /** This node's own address for peers. */
   readonly address: string;
+  readonly domain: string;
   readonly clock: Clock;
-  /** Whether this node hears from the store. */
-  readonly isCurrent: () => boolean;
 }
 
 /** Nodes of long ago are forgotten beyond this many: the largest fleet to design for, twice. */
@@ -26,6 +30,15 @@
 
   readonly #nodes = new Set<string>();
 
+  /** The nodes of this node's own domain, itself included, as the platform's list had them. */
+  #neighbours: readonly string[] = [];
+
+  /** Peers that follow the store through this node. */
+  #followers = 0;
+
+  /** The feeds that keep this node current. */
+  #feeds: readonly { readonly isHealthy: boolean }[] = [];
+
   constructor(options: KnowledgeBaseOptions) {
     this.#options = options;
   }
@@ -35,6 +48,10 @@
     return routing.current !== undefined && registry.version > 0;
   }
 
+  watchFeeds(feeds: readonly { readonly isHealthy: boolean }[]): void {
+    this.#feeds = feeds;
+  }
+
   /** This node's own address for peers. */
   get address(): string {
     return this.#options.address;
@@ -42,7 +59,7 @@
 
   /** Whether the store tells this node of changes, so that peers need not be asked. */
   get isCurrent(): boolean {
-    return this.#options.isCurrent();
+    return this.#feeds.length > 0 && this.#feeds.every(({ isHealthy }) => isHealthy);
   }
 
   /** The addresses of other nodes. */
@@ -60,6 +77,62 @@
     [...this.#nodes].slice(0, -MAX_NODES).forEach((address) => this.#nodes.delete(address));
   }
 
+  get neighbours(): readonly string[] {
+    return this.#neighbours;
+  }
+
+  get hasFollowers(): boolean {
+    return this.#followers > 0;
+  }
+
+  addListed(nodes: readonly KnownNode[]): void {
+    this.addNodes(nodes.map(({ address }) => address));
+    this.#neighbours = nodes
+      .filter(({ domain }) => domain === this.#options.domain)
+      .map(({ address }) => address);
+  }
+
+  /** A peer begins to follow the store through this node; the function that is returned ends it. */
+  addFollower(): () => void {
+    this.#followers += 1;
+    return () => {
+      this.#followers -= 1;
+    };
+  }
+
+  /** How often what is known of instances has changed here. */
+  get instancesRevision(): number {
+    return this.#options.registry.revision;
+  }
+
+  /** What a follower is told: the versions, and the instances where they are asked for. */
+  createPulse(withInstances: boolean): Pulse {
+    const { routing, registry } = this.#options;
+    return {
+      type: 'pulse',
+      routingVersion: routing.version,
+      instances: withInstances ? registry.createPage() : undefined,
+      isCurrent: this.isCurrent,
+    };
+  }
+
+  createFollow(): Follow {
+    return { type: 'follow', instancesVersion: this.#options.registry.version };
+  }
+
+  /** Takes over the instances of the node that this one follows the store through. */
+  adoptInstances(page: FeedPage<Instance>): void {
+    this.#options.registry.adopt(page, true);
+  }
+
+  get routingVersion(): number {
+    return this.#options.routing.version;
+  }
+
+  get instancesVersion(): number {
+    return this.#options.registry.version;
+  }
+
   createQuestion(): Ask {
     const { routing, registry, address } = this.#options;
     return {
--- a/packages/rhubarbcroft/src/exchange/KnowledgeConnection.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeConnection.ts
@@ -1,7 +1,9 @@
 /** The task of one connection on which a peer asks what this node knows. */
 import type { Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type Logger from 'bunyan';
 import describeFailure from '@rhubarbcroft/protocol/results/describeFailure';
+import type FrameCodec from '../peers/FrameCodec.js';
 import Task from '../supervision/Task.js';
 import type KnowledgeBase from './KnowledgeBase.js';
 import type KnowledgeMessage from './KnowledgeMessage.js';
@@ -11,6 +13,12 @@
 /** A connection on which nothing came for this long is dropped; a peer that has something to say opens another. */
 const SILENCE_TIMEOUT_MS = 15_000;
 
+/** How often a follower is told what is known; what it knows is at most this much older. */
+const PULSE_PERIOD_MS = 250;
+
+/** What a follower has not taken; more means that it is gone or does not read. */
+const MAX_UNSENT_BYTES = 1_048_576;
+
 type WireSend = Extract<KnowledgeMessage, { readonly type: 'notices' }>['sends'][number];
 
 function decodeSend([instanceId, rank, prefillMs, outputTokens, ...parts]: WireSend): PromptNotice {
@@ -35,6 +43,7 @@
     this.#socket = socket;
     this.#base = base;
     this.#log = log;
+    // A follower says nothing after its first message, but takes what it is told, which counts as activity.
     socket.setTimeout(SILENCE_TIMEOUT_MS, () => socket.destroy());
     socket.on('error', (error) => log.debug({ reason: error.message }, 'peer connection broke'));
   }
@@ -53,6 +62,8 @@
           if (message.type === 'ask') {
             this.#base.addNodes([message.address]);
             this.#socket.write(codec.encode({ type: 'tell', knowledge: this.#base.tell(message) }));
+          } else if (message.type === 'follow') {
+            void this.#pulse(codec, message.instancesVersion);
           } else if (message.type === 'notices') {
             message.sends.forEach((send) => this.#base.noteSend(decodeSend(send)));
             message.unreachable.forEach((instanceId) => this.#base.noteUnreachable(instanceId));
@@ -65,4 +76,23 @@
       this.#socket.destroy();
     }
   }
+
+  /**
+   * Tells the peer of each change of the versions, and a few times a second that there was none, for as long
+   * as the connection lives. The first instances go out when this node knows at least as much as the peer.
+   */
+  async #pulse(codec: FrameCodec<KnowledgeMessage>, knownVersion: number): Promise<void> {
+    const endFollowing = this.#base.addFollower();
+    const socket = this.#socket;
+    let sentRevision: number | undefined;
+    while (!socket.destroyed && socket.writableLength < MAX_UNSENT_BYTES) {
+      const { instancesRevision, instancesVersion } = this.#base;
+      const isNew = instancesRevision !== sentRevision && instancesVersion >= knownVersion;
+      sentRevision = isNew ? instancesRevision : sentRevision;
+      socket.write(codec.encode(this.#base.createPulse(isNew)));
+      await sleep(PULSE_PERIOD_MS);
+    }
+    endFollowing();
+    socket.destroy();
+  }
 }
--- a/packages/rhubarbcroft/src/exchange/KnowledgeMessage.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeMessage.ts
@@ -1,4 +1,6 @@
 /** The messages of the exchange between forwarding nodes, a CBOR frame each. */
+import type FeedPage from '../discovery/FeedPage.js';
+import type Instance from '../instances/Instance.js';
 import type Knowledge from './Knowledge.js';
 
 type KnowledgeMessage =
@@ -11,6 +13,16 @@
       readonly address: string;
     }
   | { readonly type: 'tell'; readonly knowledge: Knowledge }
+  /** Asks for a pulse at each change and several times a second, and for instances newer than these. */
+  | { readonly type: 'follow'; readonly instancesVersion: number }
+  | {
+      readonly type: 'pulse';
+      readonly routingVersion: number;
+      /** All instances, when they have changed. */
+      readonly instances: FeedPage<Instance> | undefined;
+      /** Whether the teller hears from the store. */
+      readonly isCurrent: boolean;
+    }
   | {
       readonly type: 'notices';
       /**
--- a/packages/rhubarbcroft/src/exchange/NodeAnnouncer.ts
+++ b/packages/rhubarbcroft/src/exchange/NodeAnnouncer.ts
@@ -4,6 +4,7 @@
 import type Clock from '../supervision/Clock.js';
 import Task from '../supervision/Task.js';
 import type KnowledgeBase from './KnowledgeBase.js';
+import type KnownNode from './KnownNode.js';
 import type NodeList from './NodeList.js';
 
 /** All nodes of a fleet start within a third of a second; after this time each finds all others listed. */
@@ -17,7 +18,7 @@
 
   readonly #base: KnowledgeBase;
 
-  readonly #address: string;
+  readonly #node: KnownNode;
 
   readonly #clock: Clock;
 
@@ -26,12 +27,12 @@
   constructor(
     list: NodeList,
     base: KnowledgeBase,
-    options: { readonly address: string; readonly clock: Clock; readonly log: Logger },
+    options: { readonly node: KnownNode; readonly clock: Clock; readonly log: Logger },
   ) {
     super();
     this.#list = list;
     this.#base = base;
-    this.#address = options.address;
+    this.#node = options.node;
     this.#clock = options.clock;
     this.#log = options.log;
   }
@@ -39,7 +40,7 @@
   override async run(signal: AbortSignal): Promise<void> {
     let announced = false;
     while (!announced && !signal.aborted) {
-      const result = await this.#list.announce(this.#address);
+      const result = await this.#list.announce(this.#node);
       announced = result.isOk;
       if (result.isErr) {
         this.#log.info({ reason: describeFailure(result.error) }, 'not announced yet');
@@ -52,7 +53,7 @@
       const nodes = await this.#list.read();
       read = nodes.isOk;
       if (nodes.isOk) {
-        this.#base.addNodes(nodes.value);
+        this.#base.addListed(nodes.value);
       } else {
         await this.#clock.sleep(RETRY_MS, signal);
       }
--- a/packages/rhubarbcroft/src/gateway/createGateway.ts
+++ b/packages/rhubarbcroft/src/gateway/createGateway.ts
@@ -13,9 +13,11 @@
 import readTransferMs from '../decisions/placement/readTransferMs.js';
 import FleetRetryBudget from '../decisions/retries/FleetRetryBudget.js';
 import FeedReader from '../discovery/FeedReader.js';
+import FollowedFeed from '../exchange/FollowedFeed.js';
 import KnowledgeBase from '../exchange/KnowledgeBase.js';
 import KnowledgeConnection from '../exchange/KnowledgeConnection.js';
 import KnowledgeSeeker from '../exchange/KnowledgeSeeker.js';
+import LeaderLink from '../exchange/LeaderLink.js';
 import NodeAnnouncer from '../exchange/NodeAnnouncer.js';
 import EndpointNotifier from '../exchange/EndpointNotifier.js';
 import EngineChooser from '../forwarding/EngineChooser.js';
@@ -69,6 +71,7 @@
   readonly registry: InstanceRegistry;
   readonly readers: readonly [FeedReader<RoutingDocument>, FeedReader<Instance>];
   readonly base: KnowledgeBase;
+  readonly leader: LeaderLink;
 }
 
 /** What the node knows, and the tasks that keep it so. */
@@ -80,19 +83,37 @@
     log,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
   });
-  const readers = [
-    new FeedReader(sources.routing, new RoutingConsumer(routing, log), clock, log),
-    new FeedReader(sources.instances, registry, clock, log),
-  ] as const;
   const base = new KnowledgeBase({
     routing,
     registry,
     address: settings.peerAddress,
+    domain: settings.domain,
     clock,
-    isCurrent: () => readers.every((reader) => reader.isHealthy),
   });
   base.addNodes(settings.seedPeers);
-  return { routing, registry, readers, base };
+  const leader = new LeaderLink(base, clock, log);
+  const followed = { base, leader };
+  const readers = [
+    new FeedReader(
+      new FollowedFeed({
+        ...followed,
+        feed: sources.routing,
+        isBehind: () => leader.routingVersion > routing.version,
+      }),
+      new RoutingConsumer(routing, log),
+      clock,
+      log,
+    ),
+    new FeedReader(
+      // The leader's pulses bring the instances themselves.
+      new FollowedFeed({ ...followed, feed: sources.instances, isBehind: () => false }),
+      registry,
+      clock,
+      log,
+    ),
+  ] as const;
+  base.watchFeeds(readers);
+  return { routing, registry, readers, base, leader };
 }
 
 function createContext(
@@ -204,8 +225,13 @@
         createTask: (socket) => new KnowledgeConnection(socket, known.base, log),
       }),
       notifier,
+      known.leader,
       new KnowledgeSeeker(known.base, clock, log),
-      new NodeAnnouncer(sources.nodes, known.base, { address: peerAddress, clock, log }),
+      new NodeAnnouncer(sources.nodes, known.base, {
+        node: { address: peerAddress, domain: settings.domain },
+        clock,
+        log,
+      }),
     ),
     new Supervisor('orders', clock, log).plan(
       new StageKeeper({
--- a/packages/rhubarbcroft/src/instances/InstanceRegistry.ts
+++ b/packages/rhubarbcroft/src/instances/InstanceRegistry.ts
@@ -39,6 +39,8 @@
 
   #version = 0;
 
+  #revision = 0;
+
   #doubtUntilMs = -Infinity;
 
   constructor(options: InstanceRegistryOptions) {
@@ -51,6 +53,12 @@
     return this.#version;
   }
 
+  /** Rises whenever an instance is added, changed or dropped. */
+  get revision(): number {
+    this.#dropMissing();
+    return this.#revision;
+  }
+
   override replaceAll(page: FeedPage<Instance>): void {
     if (page.version < this.#version) {
       return;
@@ -143,6 +151,7 @@
         this.#options.log.info({ instance: id, version }, 'instance is leaving');
       }
       state.update(instance);
+      this.#revision += 1;
       this.#entries.set(id, { state, version, missingSinceMs: undefined });
       return;
     }
@@ -156,6 +165,7 @@
     const kvCapacityTokens = engine?.kvCapacityTokens ?? DEFAULT_KV_TOKENS;
     const state = new InstanceState(instance, { connectTimeoutMs, kvCapacityTokens });
     this.#entries.set(id, { state, version, missingSinceMs: undefined });
+    this.#revision += 1;
     const { address, service, domain, stage } = instance;
     log.info({ instance: id, version, address, service, domain, stage }, 'instance found');
   }
@@ -188,6 +198,7 @@
   #drop(id: string, entry: Entry): void {
     entry.state.pool.close();
     this.#entries.delete(id);
+    this.#revision += 1;
     this.#options.log.info({ instance: id, version: entry.version }, 'instance is gone');
   }
 
