--- a/packages/rhubarbcroft/src/discovery/FeedReader.ts
+++ b/packages/rhubarbcroft/src/discovery/FeedReader.ts
@@ -9,9 +9,12 @@
 import type ChangeFeed from './ChangeFeed.js';
 import type FeedConsumer from './FeedConsumer.js';
 
-/** First and longest pause between calls that fail: the store bounds calls, and all of them are priced. */
+/**
+ * First and longest pause between calls that fail: the store bounds calls, and all of them are priced. Its
+ * return is noticed in less than the time (4 s) after which a node counts as in touch with it again.
+ */
 const RETRY_MIN_MS = 200;
-const RETRY_MAX_MS = 1_000;
+const RETRY_MAX_MS = 2_000;
 /**
  * The least time between two calls that bring changes: in a burst of changes one call brings many, and what
  * is known a second later is still in force well within the platform's bounds (3 s).
--- a/packages/rhubarbcroft/src/exchange/EndpointNotifier.ts
+++ b/packages/rhubarbcroft/src/exchange/EndpointNotifier.ts
@@ -1,8 +1,8 @@
 /**
  * Tells the peers which prompts this node has sent to which engines, so that all reckon with the same
  * queues and caches, and which endpoints it could not reach, so that not each node has to wait for a
- * connection to find out. Each peer has a link of its own; in a large fleet only some peers are told, others
- * by each node, so that all know about as much.
+ * connection to find out. Each peer has a link of its own. In a large fleet only some peers are told: those
+ * of the own domain, which send to the same engines, and some others, not the same ones by each node.
  */
 import orderByHash from '../decisions/orderByHash.js';
 import BatchNotifier from '../peers/BatchNotifier.js';
@@ -17,8 +17,8 @@
 
 /** A prompt of middling size is read in this time; a notice that comes later says little. */
 const PERIOD_MS = 40;
-/** As many peers as the larger of today's fleets has, and some to be added. */
-const MAX_LINKS = 12;
+/** As many peers as a domain has at the size to design for. */
+const MAX_LINKS = 24;
 
 type WireSend = Extract<KnowledgeMessage, { readonly type: 'notices' }>['sends'][number];
 
@@ -63,8 +63,10 @@
     if (this.#links.size === MAX_LINKS || this.#links.size === this.#base.nodes.length) {
       return;
     }
-    orderByHash(this.#base.address, this.#base.nodes).forEach((address) => {
-      if (!this.#links.has(address) && this.#links.size < MAX_LINKS) {
+    const { address: own, neighbours, nodes } = this.#base;
+    const others = orderByHash(own, nodes);
+    [...neighbours, ...others].forEach((address) => {
+      if (address !== own && !this.#links.has(address) && this.#links.size < MAX_LINKS) {
         const link = new NoticeLink(address, this.clock);
         this.#links.set(address, link);
         this.#supervisor.add(link);
