--- a/packages/rhubarbcroft/src/decisions/health/EndpointHealth.ts
+++ b/packages/rhubarbcroft/src/decisions/health/EndpointHealth.ts
@@ -54,7 +54,7 @@
     }
   }
 
-  /** A request is about to be sent. */
+  /** A request is about to be sent; after a rest for want of a connection it goes alone. */
   beginTrial(nowMs: number): void {
     if (this.#isUnreachable && !this.isResting(nowMs)) {
       this.#avoidedUntilMs = nowMs + TRIAL_MS;
@@ -68,7 +68,7 @@
     }
   }
 
-  /** The endpoint took the request for nothing that it can serve now; that is no fault. */
+  /** The endpoint declined a request that it cannot serve now, which is no failure. */
   recordRejection(nowMs: number): void {
     this.#avoidedUntilMs = Math.max(this.#avoidedUntilMs, nowMs + REJECTION_MS);
   }
--- a/test/support/setup.ts
+++ b/test/support/setup.ts
@@ -14,10 +14,13 @@
 const CLOSE_CHECK_MS = 50;
 const snapshots = jestSnapshotPlugin();
 chai.use(snapshots);
+// A failure is to name what was wrong, however many answers there were.
+chai.config.truncateThreshold = 0;
 
 before('snapshots are known to both loaders', async () => {
   const native = await import('chai');
   native.use(snapshots);
+  native.config.truncateThreshold = 0;
 });
 
 function countServers(): number {
