Keep the soak's other seeds that once failed

Cause: seeds 1 and 2 (orders taken for requests) and 204 (a stand-in that ended cut answers properly, as at 200) had failed by hand and were not kept.

--- a/test/soak/REGRESSION_SEEDS.ts
+++ b/test/soak/REGRESSION_SEEDS.ts
@@ -10,11 +10,17 @@
 const AS_PLAYED = { nodeCount: 4, callersPerNode: 4, durationMs: 15_000 } as const;
 
 const REGRESSION_SEEDS: readonly RegressionSeed[] = [
-  {
-    seed: 200,
+  ...[1, 2].map((seed) => ({
+    seed,
+    ...AS_PLAYED,
+    durationMs: 10_000,
+    cause: 'the soak took an order to an engine for a request that nobody had sent',
+  })),
+  ...[200, 204].map((seed) => ({
+    seed,
     ...AS_PLAYED,
     cause: 'the soak’s own replica ended an answer that it had cut as if it were whole',
-  },
+  })),
   {
     seed: 2006,
     ...AS_PLAYED,
