--- a/packages/rhubarbcroft/src/exchange/KnowledgeBase.ts
+++ b/packages/rhubarbcroft/src/exchange/KnowledgeBase.ts
@@ -125,10 +125,6 @@
     this.#options.registry.adopt(page, true);
   }
 
-  get routingVersion(): number {
-    return this.#options.routing.version;
-  }
-
   get instancesVersion(): number {
     return this.#options.registry.version;
   }
--- a/test/admission/decisions.test.ts
+++ b/test/admission/decisions.test.ts
@@ -35,6 +35,24 @@
   });
 }
 
+/** Five thousand patient requests at 100 s, and how one more fares half a second later, by its deadline. */
+function createCrowd(): {
+  readonly admission: FairAdmission;
+  readonly offer: (deadlineMs: number) => boolean;
+} {
+  const admission = createAdmission(20_000);
+  const patient = { deadlineAtMs: 300_000 };
+  for (let index = 0; index < 5_000; index += 1) {
+    admission.offer(createWork(`crowd-${index}`, 'lookup', 'urgent', patient), 100_000);
+  }
+  const offer = (deadlineMs: number): boolean =>
+    admission.offer(
+      createWork(`by-${deadlineMs}`, 'lookup', 'urgent', { deadlineAtMs: 100_500 + deadlineMs }),
+      100_500,
+    ).admitted;
+  return { admission, offer };
+}
+
 describe('admission', () => {
   it('goes by rank, then by weighted fairness, and calls in a floor after a wait', () => {
     const admission = createAdmission();
@@ -52,38 +70,20 @@
   });
 
   it('knows its rate from the time it was busy, not from the quiet before a burst', () => {
-    const admission = createAdmission(20_000);
-    for (let index = 0; index < 5_000; index += 1) {
-      const patient = { deadlineAtMs: 300_000 };
-      admission.offer(createWork(`crowd-${index}`, 'lookup', 'urgent', patient), 100_000);
-    }
+    const { admission, offer } = createCrowd();
     // 100 served in half a second: the 5,000 ahead need 25 s.
     for (let atMs = 100_005; atMs <= 100_500; atMs += 5) {
       admission.take(atMs, () => true);
     }
-    const offer = (deadlineMs: number): boolean =>
-      admission.offer(
-        createWork(`by-${deadlineMs}`, 'lookup', 'urgent', { deadlineAtMs: 100_500 + deadlineMs }),
-        100_500,
-      ).admitted;
     expect([offer(10_000), offer(40_000)]).to.deep.equal([false, true]);
   });
 
   it('does not refuse on a rate that was observed too briefly for the deadline', () => {
-    const admission = createAdmission(20_000);
-    const patient = { deadlineAtMs: 300_000 };
-    for (let index = 0; index < 5_000; index += 1) {
-      admission.offer(createWork(`crowd-${index}`, 'lookup', 'urgent', patient), 100_000);
-    }
+    const { admission, offer } = createCrowd();
     // 5 served in half a second, while connections are still being made: the 5,000 ahead would need 500 s.
     for (let atMs = 100_100; atMs <= 100_500; atMs += 100) {
       admission.take(atMs, () => true);
     }
-    const offer = (deadlineMs: number): boolean =>
-      admission.offer(
-        createWork(`by-${deadlineMs}`, 'lookup', 'urgent', { deadlineAtMs: 100_500 + deadlineMs }),
-        100_500,
-      ).admitted;
     expect([offer(5_000), offer(170_000)]).to.deep.equal([false, true]);
   });
 
