Answer the requests that have arrived when a planned stop begins

Cause: a stopped connection closed its queue at once, so a request that was still in the kernel's buffer, that had arrived in part, or that was the first of a connection accepted just before was cut without an answer. Closing the listening socket reset the connections in its backlog; the event loop accepts one of them in a turn.

Change: the listener accepts until a turn brings no connection, and no longer closes idle connections itself; a connection first reads what has arrived, and waits up to a second for a request that is expected.

--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -2,17 +2,24 @@
  * The task of one HTTP connection. Serves the requests of the connection one after the other. When the task
  * is stopped, it finishes the requests already received, announces the end of the connection with
  * `connection: close`, and closes it.
+ *
+ * Bytes that the kernel has received but the parser has not read yet count as received: a stopped connection
+ * closes only after the event loop has read them, and it waits for a request that has begun to arrive and for the
+ * first request of a new connection.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
 import Mailbox from '../supervision/Mailbox.js';
 import Task from '../supervision/Task.js';
+import waitForEventLoop from '../supervision/waitForEventLoop.js';
 import type HttpExchange from './HttpExchange.js';
 import type HttpExchangeServer from './HttpExchangeServer.js';
 
 /** Request ids that are accepted from callers; others are replaced by a generated id. */
 const REQUEST_ID = /^[\w.-]{8,64}$/;
+/** How long a stopped connection waits for a request that is expected: a round trip between regions and a slow core. */
+const EXPECTED_REQUEST_MS = 1_000;
 
 export default class HttpConnection extends Task {
   override readonly name = 'http-connection';
@@ -23,11 +30,21 @@
 
   readonly #exchanges = new Mailbox<HttpExchange>();
 
+  #requestCount = 0;
+
+  /** Bytes read from the socket when the last request was complete. */
+  #completeBytes = 0;
+
+  #finishWait: (() => void) | undefined;
+
   constructor(socket: Socket, server: HttpExchangeServer) {
     super();
     this.#socket = socket;
     this.#server = server;
-    socket.once('close', () => this.#exchanges.close());
+    socket.once('close', () => {
+      this.#exchanges.close();
+      this.#finishWait?.();
+    });
   }
 
   /** Queues a request that the HTTP parser has read on this connection. */
@@ -38,20 +55,51 @@
         disconnected.abort();
       }
     });
+    this.#requestCount += 1;
+    request.once('end', () => {
+      this.#completeBytes = this.#socket.bytesRead;
+    });
     const receivedId = request.headers['x-request-id'];
     const requestId =
       typeof receivedId === 'string' && REQUEST_ID.test(receivedId) ? receivedId : randomUUID();
     this.#exchanges.push({ request, response, requestId, signal: disconnected.signal });
+    this.#finishWait?.();
   }
 
   override async run(signal: AbortSignal): Promise<void> {
-    signal.addEventListener('abort', () => this.#exchanges.close(), { once: true });
+    const stop = (): void => void this.#stop();
+    signal.addEventListener('abort', stop, { once: true });
     for await (const exchange of this.#exchanges) {
       await this.#serve(exchange, signal);
     }
+    signal.removeEventListener('abort', stop);
     this.#socket.end();
   }
 
+  /** Closes the queue of requests once no request is expected any more. */
+  async #stop(): Promise<void> {
+    await waitForEventLoop();
+    if (this.#isRequestExpected) {
+      await this.#waitForRequest();
+    }
+    this.#exchanges.close();
+  }
+
+  get #isRequestExpected(): boolean {
+    return this.#requestCount === 0 || this.#socket.bytesRead !== this.#completeBytes;
+  }
+
+  /** Waits for the next request, for the end of the connection or for `EXPECTED_REQUEST_MS`. */
+  #waitForRequest(): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, EXPECTED_REQUEST_MS);
+      this.#finishWait = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
   async #serve(exchange: HttpExchange, signal: AbortSignal): Promise<void> {
     const { response } = exchange;
     const announceClose = (): void => {
--- a/packages/rhubarbcroft/src/callers/HttpListener.ts
+++ b/packages/rhubarbcroft/src/callers/HttpListener.ts
@@ -5,12 +5,14 @@
 import { Server as PlainServer } from 'node:http';
 import { Server as TlsServer } from 'node:https';
 import { once } from 'node:events';
+import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 import type Clock from '../supervision/Clock.js';
 import type Supervisor from '../supervision/Supervisor.js';
 import Task from '../supervision/Task.js';
 import type CertificateWatcher from '../tls/CertificateWatcher.js';
 import waitForAbort from '../supervision/waitForAbort.js';
+import waitForEventLoop from '../supervision/waitForEventLoop.js';
 import createFailure from '@rhubarbcroft/protocol/results/createFailure';
 import formatErrorBody from '@rhubarbcroft/protocol/results/formatErrorBody';
 import type HttpExchangeServer from './HttpExchangeServer.js';
@@ -43,6 +45,8 @@
 const CHECK_PERIOD_MS = 1_000;
 /** The number of connections waiting to be accepted: all callers of a fleet may connect at the same time. */
 const BACKLOG = 4_096;
+/** Callers that connect without a pause must not delay a stop for longer. */
+const MAX_ACCEPT_MS = 500;
 const HEADER_OVERFLOW = 'HPE_HEADER_OVERFLOW';
 
 /** Answers a request that the HTTP parser rejected, and closes the connection. */
@@ -67,6 +71,8 @@
 
   readonly #options: HttpListenerOptions;
 
+  #acceptedCount = 0;
+
   constructor(options: HttpListenerOptions) {
     super();
     this.name = options.name;
@@ -83,7 +89,9 @@
     await this.#listen(server);
     await waitForAbort(signal);
     await clock.sleep(lameDuckMs);
-    server.close();
+    await this.#acceptPending();
+    // The close of the HTTP server would also close idle connections, before it has read what they received.
+    NetServer.prototype.close.call(server);
   }
 
   /** Returns undefined if the listener is stopped before a certificate is available. */
@@ -121,6 +129,7 @@
     const { frontEnd, supervisor, readTimeouts } = this.#options;
     const connections = new WeakMap<Socket, HttpConnection>();
     server.on(connected, (socket: Socket) => {
+      this.#acceptedCount += 1;
       socket.setNoDelay(true);
       const timeouts = readTimeouts?.();
       Object.assign(server, {
@@ -139,6 +148,17 @@
     server.on('clientError', (error, socket) => refuseMalformed(error, socket as Socket));
   }
 
+  /** Accepts what waits in the backlog, since closing the listening socket would reset those connections. */
+  async #acceptPending(): Promise<void> {
+    const untilMs = this.#options.clock.nowMs() + MAX_ACCEPT_MS;
+    let countBefore;
+    // A turn of the event loop accepts one connection at most.
+    do {
+      countBefore = this.#acceptedCount;
+      await waitForEventLoop();
+    } while (this.#acceptedCount > countBefore && this.#options.clock.nowMs() < untilMs);
+  }
+
   async #listen(server: PlainServer | TlsServer): Promise<void> {
     const [host, port] = this.#options.address.split(':');
     server.listen({ port: Number(port), host, backlog: BACKLOG });
--- /dev/null
+++ b/test/listener/plannedStop.test.ts
@@ -0,0 +1,129 @@
+/**
+ * Guards against requests that a planned stop cuts: those whose bytes have arrived but were not read yet, on a kept
+ * connection, a new one, or one that still waits to be accepted.
+ */
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import bunyan from 'bunyan';
+import { expect } from 'chai';
+import HttpExchangeServer from 'rhubarbcroft/callers/HttpExchangeServer';
+import type HttpExchange from 'rhubarbcroft/callers/HttpExchange';
+import HttpListener from 'rhubarbcroft/callers/HttpListener';
+import SystemClock from 'rhubarbcroft/supervision/SystemClock';
+import Supervisor from 'rhubarbcroft/supervision/Supervisor';
+import allocatePorts from '@rhubarbcroft/standins/fleet/allocatePorts';
+
+const REQUEST = 'GET /price HTTP/1.1\r\nhost: shop\r\n\r\n';
+
+class EchoServer extends HttpExchangeServer {
+  override async serve({ request, response }: HttpExchange): Promise<void> {
+    request.resume();
+    await sleep(20);
+    response.end(request.url);
+  }
+}
+
+describe('a planned stop of a listener', () => {
+  let port = 0;
+
+  let stop = new AbortController();
+
+  let done: Promise<void> = Promise.resolve();
+
+  beforeEach(async () => {
+    [port] = await allocatePorts(1);
+    stop = new AbortController();
+    const clock = new SystemClock();
+    const log = bunyan.createLogger({ name: 'test', streams: [] });
+    const supervisor = new Supervisor('callers', clock, log);
+    const listener = new HttpListener({
+      name: 'listener',
+      address: `127.0.0.1:${port}`,
+      maxHeaderBytes: 8_192,
+      maxConnections: 100,
+      lameDuckMs: 0,
+      frontEnd: new EchoServer(),
+      supervisor,
+      clock,
+      certificates: undefined,
+    });
+    done = supervisor.declareChildren(listener).run(stop.signal);
+    await sleep(50);
+  });
+
+  async function open(): Promise<Socket> {
+    const socket = connect(port, '127.0.0.1');
+    await once(socket, 'connect');
+    await sleep(20);
+    return socket;
+  }
+
+  async function readToEnd(socket: Socket): Promise<string> {
+    let text = '';
+    socket.on('data', (bytes) => {
+      text += String(bytes);
+    });
+    await Promise.race([once(socket, 'close'), sleep(3_000)]);
+    socket.destroy();
+    return text.replace(/^date: .*\r\n/im, '').replaceAll('\r\n', '\n');
+  }
+
+  /** Blocks the process, so that the listener reads nothing meanwhile although the kernel receives. */
+  function block(durationMs: number): void {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+  }
+
+  it('answers a request that has arrived on a kept connection, and announces the close', async () => {
+    const socket = await open();
+    socket.write(REQUEST);
+    await once(socket, 'data');
+    socket.write(REQUEST);
+    block(20);
+    stop.abort();
+    expect(await readToEnd(socket)).toMatchSnapshot();
+    await done;
+  });
+
+  it('answers the first request of a connection that was accepted just before the stop', async () => {
+    const socket = await open();
+    stop.abort();
+    await sleep(100);
+    socket.write(REQUEST);
+    expect(await readToEnd(socket)).toMatchSnapshot();
+    await done;
+  });
+
+  it('answers the requests of connections that it has not accepted yet', async () => {
+    const sockets = Array.from({ length: 20 }, () => connect(port, '127.0.0.1'));
+    sockets.forEach((socket) => socket.write(REQUEST));
+    stop.abort();
+    const answers = await Promise.all(sockets.map(readToEnd));
+    expect(answers.filter((answer) => !answer.includes('200 OK'))).to.deep.equal([]);
+    await done;
+  });
+
+  it('answers a request whose head arrives in two pieces around the stop', async () => {
+    const socket = await open();
+    socket.write(REQUEST);
+    await once(socket, 'data');
+    socket.write(REQUEST.slice(0, 10));
+    await sleep(20);
+    stop.abort();
+    await sleep(100);
+    socket.write(REQUEST.slice(10));
+    expect(await readToEnd(socket)).to.include('200 OK');
+    await done;
+  });
+
+  it('closes an idle connection without delay', async () => {
+    const socket = await open();
+    socket.write(REQUEST);
+    await once(socket, 'data');
+    const startedAtMs = performance.now();
+    stop.abort();
+    await Promise.all([once(socket, 'close'), done]);
+    expect(performance.now() - startedAtMs).to.be.below(500);
+  });
+});
