--- a/test/forwarding/refusals.test.ts
+++ b/test/forwarding/refusals.test.ts
@@ -37,13 +37,13 @@
 
   function behave(
     replicas: readonly ReplicaStandin[],
-    behaviour: (arrival: Arrival) => void,
+    behaviour: ReplicaStandin['behaviour'],
   ): void {
     replicas.forEach((replica) => Object.assign(replica, { behaviour }));
   }
 
   /** The status of a request that must run only once, and how many endpoints received it. */
-  async function book(behaviour: (arrival: Arrival) => void): Promise<unknown> {
+  async function book(behaviour: ReplicaStandin['behaviour']): Promise<unknown> {
     await platform.reset();
     behave(ledgers, behaviour);
     const { status } = await platform.call('/book/1', { body: 'one' });
