Price long pauses of streams, and keep five of eight engines on prefill

Cause: a long prompt that was prefilled on a decode engine paused all its streams; each event carries several tokens, so that the pauses exceeded what callers accept, and short prompts waited behind it. The price of that delay was a twentieth of a millisecond for each stream, whatever the length of the pause, and half of the engines on prefill were too few.

Change: the price grows with the square of the pause up to 200 ms, and decode time counts half of first-token time.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -180,6 +180,13 @@
     to: 'if (this.#splitter.dataEvents >= countBefore) {',
     test: 'that drips bytes and comments makes no progress',
   },
+  {
+    mechanism: 'the cost of long pauses of streams',
+    file: 'decisions/placement/CostPromptPlacement.ts',
+    from: 'return prefillMs * candidate.running * streamDelayWeight * pauseShare;',
+    to: 'return 0.05 * prefillMs * candidate.running * streamDelayWeight * Math.sign(pauseShare);',
+    test: 'keeps short prompts in time and pauses no stream for long',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/CostPromptPlacement.ts
@@ -217,10 +217,16 @@
     );
   }
 
-  /** The cost of the delay that a prefill causes to the streams running on the same engine. */
+  /**
+   * The cost of the delay that a prefill causes to the streams running on the same engine. It grows with the square
+   * of the pause up to `longPauseMs`: a short one is hidden in the time between two events, a long one, to which the
+   * queued prefills add, makes every stream late.
+   */
   #priceStreamDelay(prompt: Prompt, { candidate, copy }: PrefillOption): number {
-    const delayMs = this.#estimatePrefillMs(prompt, candidate, copy.tokens) * candidate.running;
-    return delayMs * PLACEMENT_COSTS.streamDelayWeight;
+    const { streamDelayWeight, longPauseMs } = PLACEMENT_COSTS;
+    const prefillMs = this.#estimatePrefillMs(prompt, candidate, copy.tokens);
+    const pauseShare = Math.min(1, (prefillMs + candidate.prefillBacklogMs) / longPauseMs);
+    return prefillMs * candidate.running * streamDelayWeight * pauseShare;
   }
 
   /** The cost of decoding the answer: a step for each token, and the engine's prefills, which slow the steps down. */
--- a/packages/rhubarbcroft/src/decisions/placement/PLACEMENT_COSTS.ts
+++ b/packages/rhubarbcroft/src/decisions/placement/PLACEMENT_COSTS.ts
@@ -21,11 +21,13 @@
   decodeCallMs: 5,
   /** The time of one decode step, and what each running request adds to it, as specified for the deployment. */
   stepMs: 5,
-  stepMsPerRequest: 0.15,
+  stepMsPerRequest: 0.1,
   /** The weight of a millisecond of decode time against a millisecond of time to first token. */
-  generationWeight: 0.2,
-  /** The weight of a millisecond of delay for each stream that runs on the engine during a prefill. */
-  streamDelayWeight: 0.05,
+  generationWeight: 0.5,
+  /** The weight of a millisecond of delay for each stream that runs on the engine during a long prefill. */
+  streamDelayWeight: 1,
+  /** A pause that makes a stream late: the shortest that a route allows between two events. */
+  longPauseMs: 200,
   /**
    * The cost added for an engine without a free slot, and, multiplied by an engine's share of recent requests
    * that failed, for the risk of a failure: about one target latency.
--- a/packages/rhubarbcroft/src/stages/StageController.ts
+++ b/packages/rhubarbcroft/src/stages/StageController.ts
@@ -31,8 +31,8 @@
 
 const PERIOD_MS = 1_000;
 const ORDER_TIMEOUT_MS = 1_000;
-/** Half of the engines: prefill is the larger part of both users' load, and decoding needs slots of its own. */
-const PREFILL_FRACTION = 0.5;
+/** Prefill is the larger part of the users' load; a decode engine that prefills long prompts delays all of its streams. */
+const PREFILL_FRACTION = 0.625;
 const MIN_DECODE_ENGINES = 2;
 /** Longer than the entry of a crashed engine is missing until its next run registers. */
 const SETTLE_MS = 4_000;
