--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -35,6 +35,7 @@
   /** Bytes read from the socket when the last request was complete. */
   #completeBytes = 0;
 
+  /** Ends the wait of a stopped connection for an expected request; undefined while it does not wait. */
   #finishWait: (() => void) | undefined;
 
   constructor(socket: Socket, server: HttpExchangeServer) {
@@ -87,6 +88,7 @@
     this.#exchanges.close();
   }
 
+  /** Whether a request has begun to arrive, or the connection has not received any yet. */
   get #isRequestExpected(): boolean {
     return this.#requestCount === 0 || this.#socket.bytesRead !== this.#completeBytes;
   }
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -28,11 +28,11 @@
   /** The id of the event after which a stream resumes. */
   readonly lastEventId: string | undefined;
   /**
-   * Time limit for a buffered answer, or for each chunk of a stream until its first complete event; undefined
+   * Time limit for a buffered answer, or for a stream's first event with data; undefined
    * when no other attempt may follow.
    */
   readonly answerTimeoutMs: number | undefined;
-  /** Longest pause between chunks after a stream's first event; undefined when no other attempt may follow. */
+  /** Longest pause between events with data after a stream's first one; undefined when no other attempt may follow. */
   readonly maxPauseMs: number | undefined;
 }
 
--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -2,7 +2,7 @@
  * One HTTP connection to an endpoint. It is never reopened, so a request that failed before the connection was
  * established was certainly not sent. A body without a framing header ends with its connection and cannot be
  * distinguished from a truncated one, because an endpoint that stops in the middle may close the connection cleanly too;
- * such a body is an error.
+ * such a body is an error. So is an answer whose bytes outside its body do not end.
  */
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
