Give up a silent attempt only once the next one is secured

What callers saw: a stream, or a buffered answer, of an endpoint that was sound but silent for a second or so ended without an answer: the stream's connection closed after the events so far (LOST on the users' platform), the buffered answer became a 502 after its latency target.

Cause: a time limit, or a failed connection of another request to the same endpoint, aborted the attempt first; whether another one may follow (endpoint available, expected before the deadline, retry budget) was decided afterwards. Without one the request had neither.

Change: ProgressWatchdog asks before it aborts, and goes on asking while the silence lasts; NextAttempt chooses the endpoint and spends the budget, and the Forwarder uses just that placement. The limit also waits for one pass of the event loop, since timers run before sockets are read. The outcome's record moved to a function of its own.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -187,6 +187,13 @@
     to: 'return 0.05 * prefillMs * candidate.running * streamDelayWeight * Math.sign(pauseShare);',
     test: 'keeps short prompts in time and pauses no stream for long',
   },
+  {
+    mechanism: 'securing the next attempt before a silent one is given up',
+    file: 'forwarding/ProgressWatchdog.ts',
+    from: 'if (this.signal.aborted || !this.#options.secureNext()) {',
+    to: 'if (this.signal.aborted) {',
+    test: 'finishes all streams when more pause than the retry budget allows to move',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -18,7 +18,7 @@
 import type StreamRelay from './StreamRelay.js';
 import assessRefusal from './assessRefusal.js';
 import recordDispatch from './recordDispatch.js';
-import recordUnreachable from './recordUnreachable.js';
+import recordOutcome from './recordOutcome.js';
 import readWholeBody from './readWholeBody.js';
 
 interface AttemptOptions {
@@ -34,12 +34,13 @@
   readonly answerTimeoutMs: number | undefined;
   /** Longest pause between events with data after a stream's first one; undefined when no other attempt may follow. */
   readonly maxPauseMs: number | undefined;
+  /** Secures an attempt that follows this one; this one is given up for its silence only if that succeeds. */
+  readonly secureNext: () => boolean;
 }
 
 /** Allowance for producing the first event and for the round trip to another region. */
 const FIRST_EVENT_MARGIN_MS = 120;
 const STATUS_OK = 200;
-const FIRST_REDIRECT = 300;
 
 export default class Attempt {
   readonly #context: ForwardContext;
@@ -81,7 +82,7 @@
     target.endAttempt();
     target.discardPrefill(this.#id);
     if (!signal.aborted) {
-      this.#recordOutcome(result);
+      recordOutcome(this.#context, target, result);
     }
     if (result.type === 'failed' && result.ran === 'not_run') {
       prefill.release();
@@ -142,12 +143,13 @@
   }
 
   async #dispatch(kvSource: KvSource | undefined, signal: AbortSignal): Promise<AttemptResult> {
-    const { request, placement, answerTimeoutMs } = this.#options;
+    const { request, placement, answerTimeoutMs, secureNext } = this.#options;
     const mayRetry = answerTimeoutMs !== undefined;
-    const watchdog = new ProgressWatchdog(
-      signal,
-      mayRetry ? placement.target.unreachableSignal : undefined,
-    );
+    const watchdog = new ProgressWatchdog({
+      request: signal,
+      lost: mayRetry ? placement.target.unreachableSignal : undefined,
+      secureNext,
+    });
     watchdog.expect(answerTimeoutMs);
     const connection = placement.target.pool.acquire(request.isRepeatable);
     try {
@@ -271,29 +273,4 @@
     }
     return undefined;
   }
-
-  /**
-   * Records the outcome in the endpoint's health. Not called when the caller disconnected or the deadline
-   * passed, since neither is a fault of the endpoint.
-   */
-  #recordOutcome(result: AttemptResult): void {
-    const { target } = this.#options.placement;
-    const { health } = target;
-    const nowMs = this.#context.clock.nowMs();
-    if (result.type === 'streamed') {
-      health.recordSuccess(nowMs);
-    } else if (result.type === 'held') {
-      if (result.answer.status < FIRST_REDIRECT) {
-        health.recordSuccess(nowMs);
-      } else {
-        health.recordError(nowMs);
-      }
-    } else if (result.failure.kind === 'unsent') {
-      recordUnreachable(this.#context, target);
-    } else if (result.failure.kind === 'rejected') {
-      health.recordRejection(nowMs);
-    } else {
-      health.recordIncompleteAnswer(nowMs);
-    }
-  }
 }
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -13,6 +13,7 @@
 import type ForwardContext from './ForwardContext.js';
 import type ForwardRequest from './ForwardRequest.js';
 import type BufferedAnswer from './BufferedAnswer.js';
+import NextAttempt from './NextAttempt.js';
 import type Placement from './Placement.js';
 import type StreamRelay from './StreamRelay.js';
 import type AttemptHistory from './AttemptHistory.js';
@@ -88,14 +89,19 @@
       last: undefined,
       held: undefined,
     };
-    let placement = this.#choose(request, progress);
+    let placement = this.#findChooser(request).choose(request, progress);
     const refusal = placement && this.#refuseUnreachableDeadline(request, placement);
     if (refusal !== undefined) {
       return err(refusal);
     }
     while (placement !== undefined && !signal.aborted) {
       const lastEventId = relay.lastEventId ?? request.lastEventId;
-      const mayRunAgain = this.#mayRunAgain(request, progress.runs + 1);
+      const mayRunAgain =
+        progress.sends + 1 < MAX_DISPATCHES && this.#mayRunAgain(request, progress.runs + 1);
+      const next = new NextAttempt(context, this.#findChooser(request), request, {
+        triedIds: new Set([...progress.triedIds, placement.target.instance.id]),
+        sends: progress.sends + 1,
+      });
       const attempt = new Attempt(context, {
         request,
         placement,
@@ -103,6 +109,7 @@
         lastEventId,
         answerTimeoutMs: mayRunAgain ? this.#findAnswerTimeoutMs(request, placement) : undefined,
         maxPauseMs: mayRunAgain ? findMaxPauseMs(request) : undefined,
+        secureNext: () => next.secure(),
       });
       const result = await attempt.run(signal);
       progress = Forwarder.#recordResult(progress, placement, result);
@@ -110,7 +117,7 @@
       if (!this.#mayRetry(request, progress, signal)) {
         return Forwarder.#conclude(progress, placement, signal);
       }
-      placement = this.#spendRetry(request, result) ? this.#choose(request, progress) : undefined;
+      placement = next.placement ?? this.#chooseRetry(request, progress, result);
     }
     return Forwarder.#conclude(progress, placement, signal);
   }
@@ -122,10 +129,19 @@
     return wasUnsent || retryBudget.spend(request.service, clock.nowMs());
   }
 
-  #choose(request: ForwardRequest, history: AttemptHistory): Placement | undefined {
+  #chooseRetry(
+    request: ForwardRequest,
+    history: AttemptHistory,
+    result: AttemptResult,
+  ): Placement | undefined {
+    return this.#spendRetry(request, result)
+      ? this.#findChooser(request).choose(request, history)
+      : undefined;
+  }
+
+  #findChooser({ prompt }: ForwardRequest): EndpointChooser {
     const { engines, services } = this.#options;
-    const chooser = request.prompt === undefined ? services : engines;
-    return chooser.choose(request, history);
+    return prompt === undefined ? services : engines;
   }
 
   /** Refuses a request on arrival when its first token is expected too late for its deadline. */
--- a/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -71,7 +71,12 @@
       generates: false,
       expectedMs: Math.max(0, expectedMs) + ROUND_TRIP_MARGIN_MS,
     });
-    const watchdog = new ProgressWatchdog(signal, prefill.unreachableSignal);
+    const watchdog = new ProgressWatchdog({
+      request: signal,
+      lost: prefill.unreachableSignal,
+      // The target can always prefill the prompt itself.
+      secureNext: () => true,
+    });
     watchdog.expect(expectedMs * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS);
     const handle = await this.#call(prefill, watchdog.signal);
     watchdog.close();
--- a/packages/rhubarbcroft/src/forwarding/ProgressWatchdog.ts
+++ b/packages/rhubarbcroft/src/forwarding/ProgressWatchdog.ts
@@ -1,33 +1,48 @@
 /**
- * Aborts an attempt when it makes no progress within its time limit, when its endpoint becomes unreachable, or
- * when the request itself is aborted.
+ * Aborts an attempt when it makes no progress within its time limit or its endpoint becomes unreachable, provided
+ * that another attempt is secured to follow; a sound endpoint may be silent for a while. Aborts it in any case when
+ * the request itself is aborted.
  */
+import waitForEventLoop from '../supervision/waitForEventLoop.js';
+
+interface ProgressWatchdogOptions {
+  /** Aborts when the request ends. */
+  readonly request: AbortSignal;
+  /** Aborts when the endpoint becomes unreachable. */
+  readonly lost?: AbortSignal | undefined;
+  /** Secures an attempt that follows this one; returns false if none can follow, so that this one goes on. */
+  readonly secureNext: () => boolean;
+}
+
+/** The interval at which another attempt is looked for after the time limit has passed. */
+const RETRY_PERIOD_MS = 250;
+
 export default class ProgressWatchdog {
   readonly #controller = new AbortController();
 
-  readonly #outer: AbortSignal;
+  readonly #options: ProgressWatchdogOptions;
 
   #timer: NodeJS.Timeout | undefined;
 
   #wasSilent = false;
 
-  readonly #lost: AbortSignal | undefined;
+  readonly #handleOuterAbort = (): void => this.#controller.abort(this.#options.request.reason);
 
-  readonly #handleOuterAbort = (): void => this.#controller.abort(this.#outer.reason);
-
-  readonly #handleLost = (): void => this.#abortSilent(this.#lost?.reason as Error);
+  readonly #handleLost = (): void => {
+    try {
+      this.#giveUp(this.#options.lost?.reason as Error);
+    } catch (error) {
+      this.#controller.abort(error);
+    }
+  };
 
-  /**
-   * `outer` aborts when the request ends; `lost` aborts when the endpoint becomes unreachable, and is given only
-   * when the attempt may be repeated at another endpoint.
-   */
-  constructor(outer: AbortSignal, lost?: AbortSignal) {
-    this.#outer = outer;
-    this.#lost = lost;
-    if (outer.aborted) {
+  constructor(options: ProgressWatchdogOptions) {
+    this.#options = options;
+    const { request, lost } = options;
+    if (request.aborted) {
       this.#handleOuterAbort();
     }
-    outer.addEventListener('abort', this.#handleOuterAbort, { once: true });
+    request.addEventListener('abort', this.#handleOuterAbort, { once: true });
     lost?.addEventListener('abort', this.#handleLost, { once: true });
   }
 
@@ -42,23 +57,46 @@
 
   /** Restarts the timer: progress is expected within this time, in milliseconds; undefined sets no limit. */
   expect(withinMs: number | undefined): void {
-    clearTimeout(this.#timer);
+    this.#stopTimer();
     if (withinMs !== undefined) {
-      this.#timer = setTimeout(() => {
-        this.#abortSilent(new Error(`no data was received for ${Math.round(withinMs)} ms`));
-      }, withinMs);
+      this.#startTimer(withinMs, `no data was received for ${Math.round(withinMs)} ms`);
     }
   }
 
   /** Stops the timer and removes the listeners. */
   close(): void {
+    this.#stopTimer();
+    this.#options.request.removeEventListener('abort', this.#handleOuterAbort);
+    this.#options.lost?.removeEventListener('abort', this.#handleLost);
+  }
+
+  #startTimer(delayMs: number, reason: string): void {
+    const timer = setTimeout(() => {
+      this.#handleTimeout(timer, reason).catch((error: Error) => this.#controller.abort(error));
+    }, delayMs);
+    this.#timer = timer;
+  }
+
+  #stopTimer(): void {
     clearTimeout(this.#timer);
-    this.#outer.removeEventListener('abort', this.#handleOuterAbort);
-    this.#lost?.removeEventListener('abort', this.#handleLost);
+    this.#timer = undefined;
   }
 
-  #abortSilent(reason: Error): void {
+  async #handleTimeout(timer: NodeJS.Timeout, reason: string): Promise<void> {
+    // Timers run before sockets are read, so a busy node may not have read yet what has arrived.
+    await waitForEventLoop();
+    if (this.#timer === timer && !this.#giveUp(new Error(reason))) {
+      this.#startTimer(RETRY_PERIOD_MS, reason);
+    }
+  }
+
+  /** Aborts the attempt if another one can follow; returns whether it did. */
+  #giveUp(reason: Error): boolean {
+    if (this.signal.aborted || !this.#options.secureNext()) {
+      return false;
+    }
     this.#wasSilent = true;
     this.#controller.abort(reason);
+    return true;
   }
 }
--- a/test/forwarding/attempt.test.ts
+++ b/test/forwarding/attempt.test.ts
@@ -110,6 +110,7 @@
         lastEventId: undefined,
         answerTimeoutMs: 400,
         maxPauseMs: 400,
+        secureNext: () => true,
       }).run(caller.signal);
     }
     return { rests: target.health.isAvoided(clock.nowMs()), lost: lost.aborted };
--- a/test/silence/soundSilence.test.ts
+++ b/test/silence/soundSilence.test.ts
@@ -10,7 +10,8 @@
 import createRoute from '../platform/standins/createRoute.js';
 import sleep from '../support/sleep.js';
 
-const SILENCE_MS = 1_400;
+/** Beyond the time limits of an attempt, within the deadline of the request. */
+const SILENCE_MS = { answer: 1_400, stream: 2_200 };
 const PLAN_ROUTE = createRoute('/plan/', 'model', {
   kind: 'streaming',
   sticky: true,
@@ -24,7 +25,7 @@
 async function pauseOnce(arrival: Arrival): Promise<void> {
   const { id, path, response, headers } = arrival;
   if (path.startsWith('/read/') || headers['x-stage'] === 'prefill') {
-    await sleep(path.startsWith('/read/') ? SILENCE_MS : 0);
+    await sleep(path.startsWith('/read/') ? SILENCE_MS.answer : 0);
     ReplicaStandin.answer(arrival);
     return;
   }
@@ -32,7 +33,7 @@
   const events = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n'];
   const rest = events.slice(Number(headers['last-event-id'] ?? 0));
   response.write(rest.slice(0, -1).join('') || ':\n\n');
-  await sleep(SILENCE_MS);
+  await sleep(SILENCE_MS.stream);
   response.end(rest.at(-1));
 }
 
