Leave a stream at an endpoint that is silent for a second or so

What callers saw: a stream whose endpoint paused for a little over a second was resumed at another endpoint, which read the prompt again; where that one refused, the stream ended there.

Cause: another attempt was started after 1 s without an event.

Change: the limit is at least 1.5 s.

--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -43,8 +43,11 @@
 
 /** Maximum number of dispatches of one request, including those that endpoints declined. */
 const MAX_DISPATCHES = 4;
-/** Callers abandon a stream after two seconds, or after eight of its promised gaps; another attempt must start earlier. */
-const MAX_PAUSE_FLOOR_MS = 1_000;
+/**
+ * Callers abandon a stream after two seconds, or after eight of its promised gaps; another attempt must start earlier,
+ * but a sound endpoint may be silent for a second or so.
+ */
+const MAX_PAUSE_FLOOR_MS = 1_500;
 const MAX_PAUSE_EVENT_GAPS = 3;
 /** Retry-After of a refusal without a better estimate. */
 const RETRY_AFTER_MS = 300;
--- a/test/silence/soundSilence.test.ts
+++ b/test/silence/soundSilence.test.ts
@@ -12,6 +12,7 @@
 
 /** Beyond the time limits of an attempt, within the deadline of the request. */
 const SILENCE_MS = { answer: 1_400, stream: 2_200 };
+const SHORT_SILENCE_MS = 1_200;
 const PLAN_ROUTE = createRoute('/plan/', 'model', {
   kind: 'streaming',
   sticky: true,
@@ -33,7 +34,7 @@
   const events = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n'];
   const rest = events.slice(Number(headers['last-event-id'] ?? 0));
   response.write(rest.slice(0, -1).join('') || ':\n\n');
-  await sleep(SILENCE_MS.stream);
+  await sleep(path.startsWith('/plan/short') ? SHORT_SILENCE_MS : SILENCE_MS.stream);
   response.end(rest.at(-1));
 }
 
@@ -85,6 +86,11 @@
     expect([...new Set(answers.map((answer) => JSON.stringify(answer)))]).toMatchSnapshot();
   });
 
+  it('does not move a stream that pauses for a second to another endpoint', async () => {
+    const [answer] = await callDuringSilence('/plan/short', 1, true);
+    expect([answer, PlatformFixture.countArrivals(decoders)]).toMatchSnapshot();
+  });
+
   it('returns a late buffered answer when no other endpoint can give it', async () => {
     expect(await callDuringSilence('/read/1', 1, false)).toMatchSnapshot();
   });
