Hold no endpoint to a time limit while its caller does not read

What callers saw: a caller that read slowly had its stream moved to another endpoint after 1.5 s, or cut where none could follow, although the endpoint was sending.

Cause: the limit on pauses also ran while the node waited for the caller to read what it had.

Change: the relay reports when it waits for the caller; the limit starts again when the caller has read.

Evidence: the new test of test/silence/falseSilence plays a caller that stops reading for 2.5 s: 2 dispatches with the pause removed (trial), 1 with it.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -194,6 +194,20 @@
     to: 'if (this.signal.aborted) {',
     test: 'finishes all streams when more pause than the retry budget allows to move',
   },
+  {
+    mechanism: 'reading what has arrived before a time limit takes effect',
+    file: 'forwarding/ProgressWatchdog.ts',
+    from: 'await waitForEventLoop();',
+    to: 'if (this.#wasSilent) await waitForEventLoop();',
+    test: 'reads what has arrived before it gives up an attempt after the node was busy',
+  },
+  {
+    mechanism: 'no time limit on an endpoint while its caller does not read',
+    file: 'forwarding/Attempt.ts',
+    from: 'pause: () => watchdog.expect(undefined),',
+    to: 'pause: () => undefined,',
+    test: 'keeps a stream whose caller stops reading for longer than an endpoint may be silent',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -205,7 +205,11 @@
       }
       relay.begin(answer);
       this.#expectProgress(watchdog);
-      await relay.relay(answer.body, () => this.#expectProgress(watchdog));
+      await relay.relay(answer.body, {
+        advance: () => this.#expectProgress(watchdog),
+        pause: () => watchdog.expect(undefined),
+        resume: () => this.#expectProgress(watchdog),
+      });
       return { type: 'streamed' };
     } catch (error) {
       return this.#toFailedResult({ kind: 'broken', detail: (error as Error).message }, watchdog);
--- a/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
+++ b/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
@@ -13,6 +13,14 @@
   readonly rawHeaders: readonly string[];
 }
 
+interface RelayProgress {
+  /** Called for each chunk that completes an event with data: bytes inside an event and comments are no progress. */
+  readonly advance: () => void;
+  /** Called when the relay waits for the caller to read; nothing is expected of the endpoint until `resume`. */
+  readonly pause: () => void;
+  readonly resume: () => void;
+}
+
 export default class StreamRelay {
   readonly #response: ServerResponse;
 
@@ -47,11 +55,8 @@
     }
   }
 
-  /**
-   * Relays a body and calls `onProgress` for each chunk that completes an event with data: bytes inside an event
-   * and comments are no progress. Throws when the body is truncated or an event is too large.
-   */
-  async relay(body: AsyncIterable<Buffer>, onProgress: () => void): Promise<void> {
+  /** Relays a body and reports its progress. Throws when the body is truncated or an event is too large. */
+  async relay(body: AsyncIterable<Buffer>, progress: RelayProgress): Promise<void> {
     this.#splitter.discardPartialEvent();
     for await (const chunk of body) {
       const countBefore = this.#splitter.dataEvents;
@@ -59,11 +64,13 @@
       if (events.length > 0 && this.#response.writable) {
         this.#eventBytes += events.length;
         if (!this.#response.write(events)) {
+          progress.pause();
           await Promise.race([once(this.#response, 'drain'), once(this.#response, 'close')]);
+          progress.resume();
         }
       }
       if (this.#splitter.dataEvents > countBefore) {
-        onProgress();
+        progress.advance();
       }
     }
     if (!this.#splitter.isAtEventBoundary) {
