Remove the listeners of a relay's wait for its caller

What operators saw: MaxListenersExceededWarning on standard error while a caller read slowly.

Cause: each wait for the caller added listeners for the close and for errors of the response, which stayed until its end.

Change: the wait removes them when it has ended.

Evidence: the test of a caller that stops reading printed the warning before (11 close and 11 error listeners) and prints none now.

--- a/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
+++ b/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
@@ -65,7 +65,7 @@
         this.#eventBytes += events.length;
         if (!this.#response.write(events)) {
           progress.pause();
-          await Promise.race([once(this.#response, 'drain'), once(this.#response, 'close')]);
+          await this.#waitForCaller();
           progress.resume();
         }
       }
@@ -78,6 +78,16 @@
     }
   }
 
+  /** Waits until the caller has read what was written, or has closed the connection. */
+  async #waitForCaller(): Promise<void> {
+    const settled = new AbortController();
+    const { signal } = settled;
+    await Promise.race([
+      once(this.#response, 'drain', { signal }),
+      once(this.#response, 'close', { signal }),
+    ]).finally(() => settled.abort());
+  }
+
   end(): void {
     this.#response.end();
   }
