Let an attempt show progress after another connection to its endpoint failed

What callers saw: when one new connection to an endpoint failed (a lost packet, a cut of a second), all streams that ran there were moved or cut, also those that were sending.

Cause: a failed connection marked the endpoint unreachable and aborted its attempts at once.

Change: an attempt has 300 ms to show progress then, and is given up only if it shows none and the next one is secured.

Evidence: the new test of test/silence/falseSilence fails on the code before (an attempt that makes progress is given up).

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -208,6 +208,13 @@
     to: 'pause: () => undefined,',
     test: 'keeps a stream whose caller stops reading for longer than an endpoint may be silent',
   },
+  {
+    mechanism: 'time for progress after a failed connection to the endpoint',
+    file: 'forwarding/ProgressWatchdog.ts',
+    from: 'const LOST_GRACE_MS = 300;',
+    to: 'const LOST_GRACE_MS = 0;',
+    test: 'keeps an attempt that makes progress although another connection to its endpoint failed',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/forwarding/ProgressWatchdog.ts
+++ b/packages/rhubarbcroft/src/forwarding/ProgressWatchdog.ts
@@ -1,14 +1,14 @@
 /**
- * Aborts an attempt when it makes no progress within its time limit or its endpoint becomes unreachable, provided
- * that another attempt is secured to follow; a sound endpoint may be silent for a while. Aborts it in any case when
- * the request itself is aborted.
+ * Aborts an attempt when it makes no progress within its time limit, which becomes short when its endpoint seems
+ * unreachable, provided that another attempt is secured to follow; a sound endpoint may be silent for a while. Aborts
+ * it in any case when the request itself is aborted.
  */
 import waitForEventLoop from '../supervision/waitForEventLoop.js';
 
 interface ProgressWatchdogOptions {
   /** Aborts when the request ends. */
   readonly request: AbortSignal;
-  /** Aborts when the endpoint becomes unreachable. */
+  /** Aborts when the endpoint becomes unreachable; the attempt then has to show progress soon. */
   readonly lost?: AbortSignal | undefined;
   /** Secures an attempt that follows this one; returns false if none can follow, so that this one goes on. */
   readonly secureNext: () => boolean;
@@ -16,6 +16,8 @@
 
 /** The interval at which another attempt is looked for after the time limit has passed. */
 const RETRY_PERIOD_MS = 250;
+/** Time for progress after a connection to the endpoint failed; open connections to it may be sound. */
+const LOST_GRACE_MS = 300;
 
 export default class ProgressWatchdog {
   readonly #controller = new AbortController();
@@ -29,10 +31,9 @@
   readonly #handleOuterAbort = (): void => this.#controller.abort(this.#options.request.reason);
 
   readonly #handleLost = (): void => {
-    try {
-      this.#giveUp(this.#options.lost?.reason as Error);
-    } catch (error) {
-      this.#controller.abort(error);
+    if (this.#timer !== undefined) {
+      this.#stopTimer();
+      this.#startTimer(LOST_GRACE_MS, (this.#options.lost?.reason as Error).message);
     }
   };
 
--- a/test/silence/falseSilence.test.ts
+++ b/test/silence/falseSilence.test.ts
@@ -87,4 +87,27 @@
     server.close();
     expect(watchdog.wasSilent).to.equal(false);
   });
+
+  it('keeps an attempt that makes progress although another connection to its endpoint failed', async () => {
+    const outcomes = await Promise.all(
+      [true, false].map(async (makesProgress) => {
+        const lost = new AbortController();
+        const watchdog = new ProgressWatchdog({
+          request: new AbortController().signal,
+          lost: lost.signal,
+          secureNext: () => true,
+        });
+        watchdog.expect(5_000);
+        lost.abort(new Error('connection failed'));
+        await sleep(100);
+        if (makesProgress) {
+          watchdog.expect(5_000);
+        }
+        await sleep(500);
+        watchdog.close();
+        return { makesProgress, wasGivenUp: watchdog.wasSilent };
+      }),
+    );
+    expect(outcomes).toMatchSnapshot();
+  });
 });
