Log each request that its connection leaves without a complete answer

Cause: a request whose connection ended inside its head or body, by a timeout or by a cut, left no line, so that it could not be told from one that never arrived. An answer cut by this node and one that the caller left looked alike.

Change: HttpConnection keeps the figures of each request until its answer is complete. No decision changes.

--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -10,12 +10,24 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
+import type Clock from '../supervision/Clock.js';
 import Mailbox from '../supervision/Mailbox.js';
 import Task from '../supervision/Task.js';
 import waitForEventLoop from '../supervision/waitForEventLoop.js';
+import type ConnectionEnd from './ConnectionEnd.js';
+import type ConnectionEndRecorder from './ConnectionEndRecorder.js';
 import type HttpExchange from './HttpExchange.js';
 import type HttpExchangeServer from './HttpExchangeServer.js';
 
+interface HttpConnectionOptions {
+  readonly server: HttpExchangeServer;
+  readonly clock: Clock;
+  readonly ends: ConnectionEndRecorder;
+}
+
+type EndReason = ConnectionEnd['reason'];
+type UnansweredRequest = ConnectionEnd['unanswered'][number];
+
 /** Request ids that are accepted from callers; others are replaced by a generated id. */
 const REQUEST_ID = /^[\w.-]{8,64}$/;
 /** How long a stopped connection waits for a request that is expected: a round trip between regions and a slow core. */
@@ -26,7 +38,7 @@
 
   readonly #socket: Socket;
 
-  readonly #server: HttpExchangeServer;
+  readonly #options: HttpConnectionOptions;
 
   readonly #exchanges = new Mailbox<HttpExchange>();
 
@@ -38,16 +50,40 @@
   /** Ends the wait of a stopped connection for an expected request; undefined while it does not wait. */
   #finishWait: (() => void) | undefined;
 
-  constructor(socket: Socket, server: HttpExchangeServer) {
+  /** Describes the requests that are not answered yet, in the order of their arrival. */
+  readonly #unanswered = new Map<ServerResponse, () => UnansweredRequest>();
+
+  #endReason: EndReason | undefined;
+
+  #endDetail: string | undefined;
+
+  /** When the connection was opened or its last answer was complete. */
+  #idleSinceMs: number;
+
+  #lastRequest: IncomingMessage | undefined;
+
+  constructor(socket: Socket, options: HttpConnectionOptions) {
     super();
     this.#socket = socket;
-    this.#server = server;
+    this.#options = options;
+    this.#idleSinceMs = options.clock.nowMs();
+    socket.once('end', () => this.noteEnd('caller'));
+    socket.once('timeout', () => this.noteEnd('idle_limit'));
     socket.once('close', () => {
       this.#exchanges.close();
       this.#finishWait?.();
+      this.#recordEnd();
     });
   }
 
+  /** Notes why the connection is about to end; the first reason counts. */
+  noteEnd(reason: EndReason, detail?: string): void {
+    if (this.#endReason === undefined) {
+      this.#endReason = reason;
+      this.#endDetail = detail;
+    }
+  }
+
   /** Queues a request that the HTTP parser has read on this connection. */
   accept(request: IncomingMessage, response: ServerResponse): void {
     const disconnected = new AbortController();
@@ -57,16 +93,73 @@
       }
     });
     this.#requestCount += 1;
+    this.#lastRequest = request;
     request.once('end', () => {
       this.#completeBytes = this.#socket.bytesRead;
     });
     const receivedId = request.headers['x-request-id'];
     const requestId =
       typeof receivedId === 'string' && REQUEST_ID.test(receivedId) ? receivedId : randomUUID();
-    this.#exchanges.push({ request, response, requestId, signal: disconnected.signal });
+    const markForwarded = this.#trackAnswer(request, response, requestId);
+    const cut = (cause: string): void => {
+      this.noteEnd('answer_cut', cause);
+      response.destroy();
+    };
+    const { signal } = disconnected;
+    this.#exchanges.push({ request, response, requestId, signal, markForwarded, cut });
     this.#finishWait?.();
   }
 
+  /** Keeps the figures of a request until its answer is complete. Returns a function that marks it as forwarded. */
+  #trackAnswer(request: IncomingMessage, response: ServerResponse, requestId: string): () => void {
+    const { clock } = this.#options;
+    const bytesBefore = this.#completeBytes;
+    const arrivedAtMs = clock.nowMs();
+    let forwarded = false;
+    this.#unanswered.set(response, () => ({
+      requestId,
+      bodyComplete: request.complete,
+      receivedBytes: this.#socket.bytesRead - bytesBefore,
+      forwarded,
+      answerBegun: response.headersSent,
+      ageMs: Math.round(clock.nowMs() - arrivedAtMs),
+    }));
+    response.once('finish', () => {
+      this.#unanswered.delete(response);
+      this.#idleSinceMs = clock.nowMs();
+    });
+    return () => {
+      forwarded = true;
+    };
+  }
+
+  /** Records the end of the connection with the requests that it leaves unanswered. */
+  #recordEnd(): void {
+    const reason = this.#endReason ?? (this.#socket.errored === null ? 'answered' : 'caller');
+    const detail = this.#endDetail ?? this.#socket.errored?.message;
+    const unanswered = [...this.#unanswered.values()].map((describe) => describe());
+    const isHeadPartial =
+      unanswered.length === 0 &&
+      this.#lastRequest?.complete !== false &&
+      this.#socket.bytesRead !== this.#completeBytes;
+    this.#options.ends.record({
+      reason,
+      detail,
+      unanswered: isHeadPartial ? [this.#describePartialHead()] : unanswered,
+    });
+  }
+
+  #describePartialHead(): UnansweredRequest {
+    return {
+      requestId: undefined,
+      bodyComplete: false,
+      receivedBytes: this.#socket.bytesRead - this.#completeBytes,
+      forwarded: false,
+      answerBegun: false,
+      ageMs: Math.round(this.#options.clock.nowMs() - this.#idleSinceMs),
+    };
+  }
+
   override async run(signal: AbortSignal): Promise<void> {
     const stop = (): void => {
       this.#stop().catch(() => this.#exchanges.close());
@@ -76,6 +169,7 @@
       await this.#serve(exchange, signal);
     }
     signal.removeEventListener('abort', stop);
+    this.noteEnd('stop');
     this.#socket.end();
   }
 
@@ -115,7 +209,7 @@
       announceClose();
     }
     signal.addEventListener('abort', announceClose, { once: true });
-    await this.#server.serve(exchange);
+    await this.#options.server.serve(exchange);
     signal.removeEventListener('abort', announceClose);
     if (!response.writableFinished && !response.destroyed) {
       await new Promise<void>((resolve) => {
--- a/packages/rhubarbcroft/src/callers/HttpExchange.ts
+++ b/packages/rhubarbcroft/src/callers/HttpExchange.ts
@@ -7,6 +7,10 @@
   readonly requestId: string;
   /** Aborts when the connection closes before the response is complete. */
   readonly signal: AbortSignal;
+  /** Notes that the complete request was accepted for forwarding, for the log line of an early end. */
+  readonly markForwarded: () => void;
+  /** Destroys the connection of a response that cannot be finished; the cause appears in the log line. */
+  readonly cut: (cause: string) => void;
 }
 
 export default HttpExchange;
--- a/packages/rhubarbcroft/src/callers/HttpListener.ts
+++ b/packages/rhubarbcroft/src/callers/HttpListener.ts
@@ -7,6 +7,7 @@
 import { once } from 'node:events';
 import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
+import type Logger from 'bunyan';
 import type Clock from '../supervision/Clock.js';
 import type Supervisor from '../supervision/Supervisor.js';
 import Task from '../supervision/Task.js';
@@ -15,6 +16,8 @@
 import waitForEventLoop from '../supervision/waitForEventLoop.js';
 import createFailure from '@rhubarbcroft/protocol/results/createFailure';
 import formatErrorBody from '@rhubarbcroft/protocol/results/formatErrorBody';
+import type Metrics from '../telemetry/Metrics.js';
+import ConnectionEndRecorder from './ConnectionEndRecorder.js';
 import type HttpExchangeServer from './HttpExchangeServer.js';
 import HttpConnection from './HttpConnection.js';
 
@@ -33,6 +36,8 @@
   readonly frontEnd: HttpExchangeServer;
   readonly supervisor: Supervisor;
   readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: Metrics;
   /** The current time limits for a request's headers and for idle connections; the defaults apply without it. */
   readonly readTimeouts?: () => ListenerTimeouts | undefined;
   /** The certificate for TLS; plain HTTP without it. */
@@ -48,6 +53,10 @@
 /** Callers that connect without a pause must not delay a stop for longer. */
 const MAX_ACCEPT_MS = 500;
 const HEADER_OVERFLOW = 'HPE_HEADER_OVERFLOW';
+const HEADER_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
+const PARSER_ERROR_PREFIX = 'HPE_';
+/** The parser's error when the caller ends the connection inside a request. */
+const EARLY_END = 'HPE_INVALID_EOF_STATE';
 
 /** Answers a request that the HTTP parser rejected, and closes the connection. */
 function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
@@ -66,6 +75,17 @@
   socket.end(`${head}content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
 }
 
+/** Notes whether a connection ends by the header timeout, a malformed request, or an error of its socket. */
+function noteClientError(error: NodeJS.ErrnoException, connection?: HttpConnection): void {
+  const { code = '' } = error;
+  if (code === HEADER_TIMEOUT) {
+    connection?.noteEnd('header_timeout');
+  } else {
+    const isMalformed = code.startsWith(PARSER_ERROR_PREFIX) && code !== EARLY_END;
+    connection?.noteEnd(isMalformed ? 'malformed' : 'caller', code);
+  }
+}
+
 export default class HttpListener extends Task {
   override readonly name: string;
 
@@ -126,7 +146,9 @@
   }
 
   #accept(server: PlainServer | TlsServer, connected: 'connection' | 'secureConnection'): void {
-    const { frontEnd, supervisor, readTimeouts } = this.#options;
+    const { name, frontEnd, supervisor, readTimeouts, clock, log, metrics, maxConnections } =
+      this.#options;
+    const ends = new ConnectionEndRecorder({ listener: name, log, metrics, clock });
     const connections = new WeakMap<Socket, HttpConnection>();
     server.on(connected, (socket: Socket) => {
       this.#acceptedCount += 1;
@@ -136,16 +158,21 @@
         headersTimeout: timeouts?.headerTimeoutMs ?? HEADERS_TIMEOUT_MS,
         keepAliveTimeout: timeouts?.idleTimeoutMs ?? IDLE_CONNECTION_MS,
       });
-      const connection = new HttpConnection(socket, frontEnd);
+      const connection = new HttpConnection(socket, { server: frontEnd, clock, ends });
       connections.set(socket, connection);
       if (!supervisor.spawn(connection)) {
+        connection.noteEnd('stop', 'the supervisor starts no more tasks');
         socket.destroy();
       }
     });
     server.on('request', (request, response) =>
       connections.get(request.socket)?.accept(request, response),
     );
-    server.on('clientError', (error, socket) => refuseMalformed(error, socket as Socket));
+    server.on('clientError', (error, socket) => {
+      noteClientError(error, connections.get(socket as Socket));
+      refuseMalformed(error, socket as Socket);
+    });
+    server.on('drop', () => ends.recordRefused(maxConnections));
   }
 
   /** Accepts what waits in the backlog, since closing the listening socket would reset those connections. */
--- a/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
+++ b/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
@@ -72,8 +72,8 @@
       );
       this.#refuse(exchange, failure, arrivedAtMs);
     }
-    if (!response.writableEnded) {
-      response.destroy();
+    if (!response.writableEnded && !response.destroyed) {
+      exchange.cut('the answer was not finished');
     }
   }
 
@@ -89,6 +89,7 @@
     );
     signal.addEventListener('abort', cancel, { once: true });
     this.#closeAfterResponse(response);
+    exchange.markForwarded();
     const served = await forwarder.forward(request, relay, controller.signal);
     clearTimeout(timer);
     signal.removeEventListener('abort', cancel);
@@ -228,7 +229,7 @@
   }
 
   #refuse(
-    { request, response, requestId }: HttpExchange,
+    { request, response, requestId, cut }: HttpExchange,
     failure: Failure,
     arrivedAtMs: number,
     relay?: StreamRelay,
@@ -239,7 +240,7 @@
     metrics.increment('refused', { code, ran });
     log.info({ requestId, code, detail, ran, retryAfterMs, waitedMs }, 'request refused');
     if (relay?.hasBegun === true || response.headersSent) {
-      response.destroy();
+      cut(code);
       return;
     }
     this.#closeAfterResponse(response);
--- a/packages/rhubarbcroft/src/gateway/createGateway.ts
+++ b/packages/rhubarbcroft/src/gateway/createGateway.ts
@@ -159,6 +159,8 @@
   const listen = {
     ...LISTEN_DEFAULTS,
     clock,
+    log,
+    metrics,
     supervisor,
     maxConnections: MAX_PROBE_CONNECTIONS,
     lameDuckMs: 0,
@@ -200,6 +202,8 @@
     new HttpListener({
       ...LISTEN_DEFAULTS,
       clock,
+      log,
+      metrics: context.metrics,
       supervisor,
       name: 'caller-listener',
       address: settings.callerAddress,
--- a/test/listener/plannedStop.test.ts
+++ b/test/listener/plannedStop.test.ts
@@ -13,6 +13,7 @@
 import HttpListener from 'rhubarbcroft/callers/HttpListener';
 import SystemClock from 'rhubarbcroft/supervision/SystemClock';
 import Supervisor from 'rhubarbcroft/supervision/Supervisor';
+import NoopMetrics from 'rhubarbcroft/telemetry/NoopMetrics';
 import allocatePorts from '@rhubarbcroft/standins/fleet/allocatePorts';
 
 const REQUEST = 'GET /price HTTP/1.1\r\nhost: shop\r\n\r\n';
@@ -47,6 +48,8 @@
       frontEnd: new EchoServer(),
       supervisor,
       clock,
+      log,
+      metrics: new NoopMetrics(),
       certificates: undefined,
     });
     done = supervisor.declareChildren(listener).run(stop.signal);
