Close idle connections by the limit in force, never before the promised time

Callers saw: a kept connection closed, or reset, under a request that they had sent within the time of the answer's Keep-Alive header, or within the idle limit after it was raised.

Cause: the limit was copied to the HTTP server only when a connection arrived, and the server armed a connection's timer once, at the end of an answer. The Keep-Alive header is computed when the request is parsed, so that a limit lowered during an answer closed the connection before the time it stated. The server's timers run before sockets are read, so that a process that was blocked past the limit reset connections whose next request had arrived.

Change: the idle wait is part of HttpConnection.run. It lasts the limit in force when it would end, or the promised time if that is longer, and a margin of 1 s as before. It closes only after the event loop has read what has arrived, and leaves a head that has begun to arrive to the header limit. The close waits up to 1 s for the caller's own before the socket is destroyed. The server reads the limits whenever it uses them, so that the header limit, too, applies to open connections. Bytes that begin no request no longer hold a connection without end.

Evidence: on the code before, 4 of the 7 tests of idleLimit.test.ts failed: limit raised while idle (closed after 2.0 s), lowered between head and end of an answer (closed after 2 s of the promised 3), stray bytes (never closed), and a request that arrived in a blocked process (no answer). Lowering the limit while idle, a head in progress and the plain close passed before.

Platform, TLS, path, supervision and listener tests pass (53 and 20).

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -127,8 +127,8 @@
   {
     mechanism: 'finishing the request under way before a connection closes',
     file: 'callers/HttpConnection.ts',
-    from: 'this.#stop().catch(() => this.#exchanges.close());',
-    to: 'this.#socket.destroy();',
+    from: 'const wake = (): void => this.#wake?.();',
+    to: 'const wake = (): void => { this.#socket.destroy(); };',
     test: 'interrupts no stream during a rolling restart of all entry VMs',
   },
   {
@@ -187,6 +187,20 @@
     to: 'return 0.05 * prefillMs * candidate.running * streamDelayWeight * Math.sign(pauseShare);',
     test: 'keeps short prompts in time and pauses no stream for long',
   },
+  {
+    mechanism: 'reading what has arrived before an idle connection closes',
+    file: 'callers/HttpConnection.ts',
+    from: '} else {\n        await waitForEventLoop();',
+    to: '} else {',
+    test: 'answers a request that arrived while the process was blocked past the limit',
+  },
+  {
+    mechanism: 'an idle time no shorter than the one promised to the caller',
+    file: 'callers/HttpConnection.ts',
+    from: 'Math.max(idleTimeoutMs, this.#promisedIdleMs)',
+    to: 'Math.min(idleTimeoutMs, this.#promisedIdleMs)',
+    test: 'closes no connection before the time that its caller was told',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -1,21 +1,23 @@
 /**
- * The task of one HTTP connection. Serves the requests of the connection one after the other. When the task
- * is stopped, it finishes the requests already received, announces the end of the connection with
- * `connection: close`, and closes it.
+ * The task of one HTTP connection. Serves the requests of the connection one after the other, and closes the
+ * connection when it has been idle for longer than the limit in force and longer than its `Keep-Alive` header
+ * promised. When the task is stopped, it finishes the requests already received, announces the end of the connection
+ * with `connection: close`, and closes it.
  *
- * Bytes that the kernel has received but the parser has not read yet count as received: a stopped connection
- * closes only after the event loop has read them, and it waits for a request that has begun to arrive and for the
+ * Bytes that the kernel has received but the parser has not read yet count as received: a connection closes only
+ * after the event loop has read them. A stopped connection waits for a request that has begun to arrive and for the
  * first request of a new connection.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
 import type Clock from '../supervision/Clock.js';
-import Mailbox from '../supervision/Mailbox.js';
 import Task from '../supervision/Task.js';
+import waitForAbort from '../supervision/waitForAbort.js';
 import waitForEventLoop from '../supervision/waitForEventLoop.js';
 import type ConnectionEnd from './ConnectionEnd.js';
 import type ConnectionEndRecorder from './ConnectionEndRecorder.js';
+import type ConnectionTimeouts from './ConnectionTimeouts.js';
 import type HttpExchange from './HttpExchange.js';
 import type HttpExchangeServer from './HttpExchangeServer.js';
 
@@ -23,6 +25,8 @@
   readonly server: HttpExchangeServer;
   readonly clock: Clock;
   readonly ends: ConnectionEndRecorder;
+  /** The limits in force; `idleTimeoutMs` is also what `Keep-Alive` promises to the request being parsed. */
+  readonly readTimeouts: () => ConnectionTimeouts;
 }
 
 type EndReason = ConnectionEnd['reason'];
@@ -32,6 +36,10 @@
 const REQUEST_ID = /^[\w.-]{8,64}$/;
 /** How long a stopped connection waits for a request that is expected: a round trip between regions and a slow core. */
 const EXPECTED_REQUEST_MS = 1_000;
+/** Added to the idle limit, for a request that its caller sends just before the limit. */
+const IDLE_MARGIN_MS = 1_000;
+/** How long a closing connection waits for the caller's own close before it is destroyed. */
+const LINGER_MS = 1_000;
 
 export default class HttpConnection extends Task {
   override readonly name = 'http-connection';
@@ -40,15 +48,18 @@
 
   readonly #options: HttpConnectionOptions;
 
-  readonly #exchanges = new Mailbox<HttpExchange>();
+  #exchanges: readonly HttpExchange[] = [];
 
   #requestCount = 0;
 
   /** Bytes read from the socket when the last request was complete. */
   #completeBytes = 0;
 
-  /** Ends the wait of a stopped connection for an expected request; undefined while it does not wait. */
-  #finishWait: (() => void) | undefined;
+  /** Ends the task's wait for a request; undefined while it does not wait. */
+  #wake: (() => void) | undefined;
+
+  /** The idle time that the `Keep-Alive` header of the last answer allows. */
+  #promisedIdleMs = 0;
 
   /** Describes the requests that are not answered yet, in the order of their arrival. */
   readonly #unanswered = new Map<ServerResponse, () => UnansweredRequest>();
@@ -68,10 +79,8 @@
     this.#options = options;
     this.#idleSinceMs = options.clock.nowMs();
     socket.once('end', () => this.noteEnd('caller'));
-    socket.once('timeout', () => this.noteEnd('idle_limit'));
     socket.once('close', () => {
-      this.#exchanges.close();
-      this.#finishWait?.();
+      this.#wake?.();
       this.#recordEnd();
     });
   }
@@ -94,6 +103,7 @@
     });
     this.#requestCount += 1;
     this.#lastRequest = request;
+    this.#promisedIdleMs = this.#options.readTimeouts().idleTimeoutMs;
     request.once('end', () => {
       this.#completeBytes = this.#socket.bytesRead;
     });
@@ -106,8 +116,11 @@
       response.destroy();
     };
     const { signal } = disconnected;
-    this.#exchanges.push({ request, response, requestId, signal, markForwarded, cut });
-    this.#finishWait?.();
+    if (!this.#socket.writableEnded) {
+      const exchange = { request, response, requestId, signal, markForwarded, cut };
+      this.#exchanges = [...this.#exchanges, exchange];
+      this.#wake?.();
+    }
   }
 
   /** Keeps the figures of a request until its answer is complete. Returns a function that marks it as forwarded. */
@@ -124,10 +137,7 @@
       answerBegun: response.headersSent,
       ageMs: Math.round(clock.nowMs() - arrivedAtMs),
     }));
-    response.once('finish', () => {
-      this.#unanswered.delete(response);
-      this.#idleSinceMs = clock.nowMs();
-    });
+    response.once('finish', () => this.#unanswered.delete(response));
     return () => {
       forwarded = true;
     };
@@ -139,9 +149,7 @@
     const detail = this.#endDetail ?? this.#socket.errored?.message;
     const unanswered = [...this.#unanswered.values()].map((describe) => describe());
     const isHeadPartial =
-      unanswered.length === 0 &&
-      this.#lastRequest?.complete !== false &&
-      this.#socket.bytesRead !== this.#completeBytes;
+      unanswered.length === 0 && this.#lastRequest?.complete !== false && this.#hasPartialRequest;
     this.#options.ends.record({
       reason,
       detail,
@@ -161,41 +169,86 @@
   }
 
   override async run(signal: AbortSignal): Promise<void> {
-    const stop = (): void => {
-      this.#stop().catch(() => this.#exchanges.close());
-    };
-    signal.addEventListener('abort', stop, { once: true });
-    for await (const exchange of this.#exchanges) {
+    const wake = (): void => this.#wake?.();
+    signal.addEventListener('abort', wake, { once: true });
+    let exchange = await this.#receive(signal);
+    while (exchange !== undefined) {
       await this.#serve(exchange, signal);
+      exchange = await this.#receive(signal);
     }
-    signal.removeEventListener('abort', stop);
-    this.noteEnd('stop');
+    signal.removeEventListener('abort', wake);
     this.#socket.end();
+    await this.#sleep(LINGER_MS);
+    this.#socket.destroy();
+  }
+
+  /** Waits for the next request. Returns undefined when the connection has closed or is to be closed. */
+  async #receive(signal: AbortSignal): Promise<HttpExchange | undefined> {
+    let isIdleLimitReached = false;
+    while (this.#isWaiting && !signal.aborted && !isIdleLimitReached) {
+      if (this.#idleLeftMs > 0) {
+        await this.#sleep(this.#idleLeftMs);
+      } else {
+        await waitForEventLoop();
+        isIdleLimitReached = this.#idleLeftMs <= 0;
+      }
+    }
+    if (this.#isWaiting && signal.aborted) {
+      await this.#finishReceiving();
+    }
+    if (this.#isWaiting) {
+      this.noteEnd(signal.aborted ? 'stop' : 'idle_limit');
+      return undefined;
+    }
+    const [exchange, ...others] = this.#exchanges;
+    this.#exchanges = others;
+    return exchange;
   }
 
-  /** Closes the queue of requests once no request is expected any more. */
-  async #stop(): Promise<void> {
+  /** Reads what a stopped connection has received, and waits for the request that is expected. */
+  async #finishReceiving(): Promise<void> {
     await waitForEventLoop();
     if (this.#isRequestExpected) {
-      await this.#waitForRequest();
+      await this.#sleep(EXPECTED_REQUEST_MS);
     }
-    this.#exchanges.close();
+  }
+
+  /** Whether the connection is open and no request is queued. */
+  get #isWaiting(): boolean {
+    return this.#exchanges.length === 0 && !this.#socket.destroyed;
   }
 
   /** Whether a request has begun to arrive, or the connection has not received any yet. */
   get #isRequestExpected(): boolean {
-    return this.#requestCount === 0 || this.#socket.bytesRead !== this.#completeBytes;
+    return this.#requestCount === 0 || this.#hasPartialRequest;
   }
 
-  /** Waits for the next request, for the end of the connection or for `EXPECTED_REQUEST_MS`. */
-  #waitForRequest(): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = setTimeout(resolve, EXPECTED_REQUEST_MS);
-      this.#finishWait = () => {
-        clearTimeout(timer);
-        resolve();
-      };
-    });
+  get #hasPartialRequest(): boolean {
+    return this.#socket.bytesRead !== this.#completeBytes;
+  }
+
+  /** Time until the idle limit closes the connection. Until the first request, the HTTP server limits the wait. */
+  get #idleLeftMs(): number {
+    if (this.#requestCount === 0) {
+      return Infinity;
+    }
+    const { idleTimeoutMs, headerTimeoutMs } = this.#options.readTimeouts();
+    const idleMs = Math.max(idleTimeoutMs, this.#promisedIdleMs) + IDLE_MARGIN_MS;
+    const limitMs = this.#hasPartialRequest ? idleMs + headerTimeoutMs : idleMs;
+    return this.#idleSinceMs + limitMs - this.#options.clock.nowMs();
+  }
+
+  /** Sleeps until a request is queued, the connection closes, the task is stopped or the time is over. */
+  async #sleep(delayMs: number): Promise<void> {
+    if (this.#socket.destroyed) {
+      return;
+    }
+    const woken = new AbortController();
+    this.#wake = () => woken.abort();
+    await (delayMs === Infinity
+      ? waitForAbort(woken.signal)
+      : this.#options.clock.sleep(delayMs, woken.signal));
+    this.#wake = undefined;
   }
 
   async #serve(exchange: HttpExchange, signal: AbortSignal): Promise<void> {
@@ -217,5 +270,6 @@
         response.once('close', resolve);
       });
     }
+    this.#idleSinceMs = this.#options.clock.nowMs();
   }
 }
--- a/packages/rhubarbcroft/src/callers/HttpListener.ts
+++ b/packages/rhubarbcroft/src/callers/HttpListener.ts
@@ -18,14 +18,10 @@
 import formatErrorBody from '@rhubarbcroft/protocol/results/formatErrorBody';
 import type Metrics from '../telemetry/Metrics.js';
 import ConnectionEndRecorder from './ConnectionEndRecorder.js';
+import type ConnectionTimeouts from './ConnectionTimeouts.js';
 import type HttpExchangeServer from './HttpExchangeServer.js';
 import HttpConnection from './HttpConnection.js';
 
-interface ListenerTimeouts {
-  readonly headerTimeoutMs: number;
-  readonly idleTimeoutMs: number;
-}
-
 interface HttpListenerOptions {
   readonly name: string;
   readonly address: string;
@@ -39,13 +35,12 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   /** The current time limits for a request's headers and for idle connections; the defaults apply without it. */
-  readonly readTimeouts?: () => ListenerTimeouts | undefined;
+  readonly readTimeouts?: () => ConnectionTimeouts | undefined;
   /** The certificate for TLS; plain HTTP without it. */
   readonly certificates: CertificateWatcher | undefined;
 }
 
-const HEADERS_TIMEOUT_MS = 10_000;
-const IDLE_CONNECTION_MS = 60_000;
+const DEFAULT_TIMEOUTS = { headerTimeoutMs: 10_000, idleTimeoutMs: 60_000 };
 /** The interval of the check for slow request headers, a fraction of their time limit. */
 const CHECK_PERIOD_MS = 1_000;
 /** The number of connections waiting to be accepted: all callers of a fleet may connect at the same time. */
@@ -119,8 +114,6 @@
     const { maxHeaderBytes, certificates } = this.#options;
     const limits = {
       maxHeaderSize: maxHeaderBytes,
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      keepAliveTimeout: IDLE_CONNECTION_MS,
       requestTimeout: 0,
       connectionsCheckingInterval: CHECK_PERIOD_MS,
     };
@@ -137,7 +130,7 @@
       ...limits,
       ...certificate,
       minVersion: 'TLSv1.2',
-      handshakeTimeout: HEADERS_TIMEOUT_MS,
+      handshakeTimeout: DEFAULT_TIMEOUTS.headerTimeoutMs,
     });
     certificates.onChange((renewed) => server.setSecureContext(renewed));
     server.on('tlsClientError', (_error, socket) => socket.destroy());
@@ -146,19 +139,27 @@
   }
 
   #accept(server: PlainServer | TlsServer, connected: 'connection' | 'secureConnection'): void {
-    const { name, frontEnd, supervisor, readTimeouts, clock, log, metrics, maxConnections } =
-      this.#options;
+    const { name, frontEnd, supervisor, clock, log, metrics, maxConnections } = this.#options;
     const ends = new ConnectionEndRecorder({ listener: name, log, metrics, clock });
+    const readTimeouts = (): ConnectionTimeouts =>
+      this.#options.readTimeouts?.() ?? DEFAULT_TIMEOUTS;
+    // The server reads these whenever it writes `Keep-Alive`, arms a timer or checks heads.
+    Object.defineProperties(server, {
+      headersTimeout: { get: () => readTimeouts().headerTimeoutMs },
+      keepAliveTimeout: { get: () => readTimeouts().idleTimeoutMs },
+    });
+    // Keeps the server's own timer from closing idle connections, which HttpConnection does.
+    server.on('timeout', () => undefined);
     const connections = new WeakMap<Socket, HttpConnection>();
     server.on(connected, (socket: Socket) => {
       this.#acceptedCount += 1;
       socket.setNoDelay(true);
-      const timeouts = readTimeouts?.();
-      Object.assign(server, {
-        headersTimeout: timeouts?.headerTimeoutMs ?? HEADERS_TIMEOUT_MS,
-        keepAliveTimeout: timeouts?.idleTimeoutMs ?? IDLE_CONNECTION_MS,
+      const connection = new HttpConnection(socket, {
+        server: frontEnd,
+        clock,
+        ends,
+        readTimeouts,
       });
-      const connection = new HttpConnection(socket, { server: frontEnd, clock, ends });
       connections.set(socket, connection);
       if (!supervisor.spawn(connection)) {
         connection.noteEnd('stop', 'the supervisor starts no more tasks');
--- a/test/listener/ListenerFixture.ts
+++ b/test/listener/ListenerFixture.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import bunyan from 'bunyan';
+import type ConnectionTimeouts from 'rhubarbcroft/callers/ConnectionTimeouts';
 import HttpListener from 'rhubarbcroft/callers/HttpListener';
 import SystemClock from 'rhubarbcroft/supervision/SystemClock';
 import Supervisor from 'rhubarbcroft/supervision/Supervisor';
@@ -13,8 +14,14 @@
 
 const END_LINE = 'connection ended before its request was answered';
 
+/** Bytes that a caller sends, a change of the limits, or something else that happens, and the wait before it. */
+type Step = readonly [
+  waitMs: number,
+  action: string | Partial<ConnectionTimeouts> | ((socket: Socket) => void),
+];
+
 export default class ListenerFixture {
-  limits = { headerTimeoutMs: 1_500, idleTimeoutMs: 1_000 };
+  #limits: ConnectionTimeouts = { headerTimeoutMs: 1_500, idleTimeoutMs: 1_000 };
 
   readonly metrics = new PrometheusMetrics();
 
@@ -48,7 +55,7 @@
       clock,
       log,
       metrics: this.metrics,
-      readTimeouts: () => this.limits,
+      readTimeouts: () => this.#limits,
       certificates: undefined,
     });
     this.#done = supervisor.declareChildren(listener).run(this.#stop.signal);
@@ -56,6 +63,10 @@
     return this;
   }
 
+  changeLimits(limits: Partial<ConnectionTimeouts>): void {
+    this.#limits = { ...this.#limits, ...limits };
+  }
+
   stop(): Promise<void> {
     this.#stop.abort();
     return this.#done;
@@ -73,6 +84,29 @@
     return socket;
   }
 
+  /** Plays the steps on one connection. Returns what its caller received, as far as it matters here. */
+  async play(steps: readonly Step[]): Promise<readonly string[]> {
+    const socket = await this.open();
+    for (const [waitMs, action] of steps) {
+      await sleep(waitMs);
+      if (typeof action === 'string') {
+        socket.write(action);
+      } else if (typeof action === 'function') {
+        action(socket);
+      } else {
+        this.changeLimits(action);
+        await this.open();
+      }
+    }
+    const received = socket.text.match(/HTTP.*|^Keep-Alive: .*|[^\n]*ends|E[A-Z]+$/gm) ?? [];
+    return [...received, socket.closed ? 'closed' : 'open'];
+  }
+
+  /** Blocks the process, so that the listener reads nothing meanwhile although the kernel receives. */
+  static block(durationMs: number): void {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+  }
+
   /** The lines of unanswered requests, without their time and age. */
   get endLines(): readonly unknown[] {
     return this.#lines
