Keep the trace of a connection's requests in a class of its own

HttpConnection did two things: it served requests, and it kept the figures for the line of an early end. The second is ConnectionTrace now. No behaviour changes; the listener tests pass.

--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -15,8 +15,8 @@
 import Task from '../supervision/Task.js';
 import waitForAbort from '../supervision/waitForAbort.js';
 import waitForEventLoop from '../supervision/waitForEventLoop.js';
-import type ConnectionEnd from './ConnectionEnd.js';
 import type ConnectionEndRecorder from './ConnectionEndRecorder.js';
+import ConnectionTrace from './ConnectionTrace.js';
 import type ConnectionTimeouts from './ConnectionTimeouts.js';
 import type HttpExchange from './HttpExchange.js';
 import type HttpExchangeServer from './HttpExchangeServer.js';
@@ -29,9 +29,6 @@
   readonly readTimeouts: () => ConnectionTimeouts;
 }
 
-type EndReason = ConnectionEnd['reason'];
-type UnansweredRequest = ConnectionEnd['unanswered'][number];
-
 /** Request ids that are accepted from callers; others are replaced by a generated id. */
 const REQUEST_ID = /^[\w.-]{8,64}$/;
 /** How long a stopped connection waits for a request that is expected: a round trip between regions and a slow core. */
@@ -52,45 +49,25 @@
 
   #requestCount = 0;
 
-  /** Bytes read from the socket when the last request was complete. */
-  #completeBytes = 0;
-
   /** Ends the task's wait for a request; undefined while it does not wait. */
   #wake: (() => void) | undefined;
 
   /** The idle time that the `Keep-Alive` header of the last answer allows. */
   #promisedIdleMs = 0;
 
-  /** Describes the requests that are not answered yet, in the order of their arrival. */
-  readonly #unanswered = new Map<ServerResponse, () => UnansweredRequest>();
-
-  #endReason: EndReason | undefined;
-
-  #endDetail: string | undefined;
-
-  /** When the connection was opened or its last answer was complete. */
-  #idleSinceMs: number;
-
-  #lastRequest: IncomingMessage | undefined;
+  readonly #trace: ConnectionTrace;
 
   constructor(socket: Socket, options: HttpConnectionOptions) {
     super();
     this.#socket = socket;
     this.#options = options;
-    this.#idleSinceMs = options.clock.nowMs();
-    socket.once('end', () => this.noteEnd('caller'));
-    socket.once('close', () => {
-      this.#wake?.();
-      this.#recordEnd();
-    });
+    this.#trace = new ConnectionTrace(socket, options.clock, options.ends);
+    socket.once('close', () => this.#wake?.());
   }
 
   /** Notes why the connection is about to end; the first reason counts. */
-  noteEnd(reason: EndReason, detail?: string): void {
-    if (this.#endReason === undefined) {
-      this.#endReason = reason;
-      this.#endDetail = detail;
-    }
+  noteEnd(...[reason, detail]: Parameters<ConnectionTrace['noteEnd']>): void {
+    this.#trace.noteEnd(reason, detail);
   }
 
   /** Queues a request that the HTTP parser has read on this connection. */
@@ -102,15 +79,11 @@
       }
     });
     this.#requestCount += 1;
-    this.#lastRequest = request;
     this.#promisedIdleMs = this.#options.readTimeouts().idleTimeoutMs;
-    request.once('end', () => {
-      this.#completeBytes = this.#socket.bytesRead;
-    });
     const receivedId = request.headers['x-request-id'];
     const requestId =
       typeof receivedId === 'string' && REQUEST_ID.test(receivedId) ? receivedId : randomUUID();
-    const markForwarded = this.#trackAnswer(request, response, requestId);
+    const markForwarded = this.#trace.track(request, response, requestId);
     const cut = (cause: string): void => {
       this.noteEnd('answer_cut', cause);
       response.destroy();
@@ -123,51 +96,6 @@
     }
   }
 
-  /** Keeps the figures of a request until its answer is complete. Returns a function that marks it as forwarded. */
-  #trackAnswer(request: IncomingMessage, response: ServerResponse, requestId: string): () => void {
-    const { clock } = this.#options;
-    const bytesBefore = this.#completeBytes;
-    const arrivedAtMs = clock.nowMs();
-    let forwarded = false;
-    this.#unanswered.set(response, () => ({
-      requestId,
-      bodyComplete: request.complete,
-      receivedBytes: this.#socket.bytesRead - bytesBefore,
-      forwarded,
-      answerBegun: response.headersSent,
-      ageMs: Math.round(clock.nowMs() - arrivedAtMs),
-    }));
-    response.once('finish', () => this.#unanswered.delete(response));
-    return () => {
-      forwarded = true;
-    };
-  }
-
-  /** Records the end of the connection with the requests that it leaves unanswered. */
-  #recordEnd(): void {
-    const reason = this.#endReason ?? (this.#socket.errored === null ? 'answered' : 'caller');
-    const detail = this.#endDetail ?? this.#socket.errored?.message;
-    const unanswered = [...this.#unanswered.values()].map((describe) => describe());
-    const isHeadPartial =
-      unanswered.length === 0 && this.#lastRequest?.complete !== false && this.#hasPartialRequest;
-    this.#options.ends.record({
-      reason,
-      detail,
-      unanswered: isHeadPartial ? [this.#describePartialHead()] : unanswered,
-    });
-  }
-
-  #describePartialHead(): UnansweredRequest {
-    return {
-      requestId: undefined,
-      bodyComplete: false,
-      receivedBytes: this.#socket.bytesRead - this.#completeBytes,
-      forwarded: false,
-      answerBegun: false,
-      ageMs: Math.round(this.#options.clock.nowMs() - this.#idleSinceMs),
-    };
-  }
-
   override async run(signal: AbortSignal): Promise<void> {
     const wake = (): void => this.#wake?.();
     signal.addEventListener('abort', wake, { once: true });
@@ -220,11 +148,7 @@
 
   /** Whether a request has begun to arrive, or the connection has not received any yet. */
   get #isRequestExpected(): boolean {
-    return this.#requestCount === 0 || this.#hasPartialRequest;
-  }
-
-  get #hasPartialRequest(): boolean {
-    return this.#socket.bytesRead !== this.#completeBytes;
+    return this.#requestCount === 0 || this.#trace.hasPartialRequest;
   }
 
   /** Time until the idle limit closes the connection. Until the first request, the HTTP server limits the wait. */
@@ -234,8 +158,8 @@
     }
     const { idleTimeoutMs, headerTimeoutMs } = this.#options.readTimeouts();
     const idleMs = Math.max(idleTimeoutMs, this.#promisedIdleMs) + IDLE_MARGIN_MS;
-    const limitMs = this.#hasPartialRequest ? idleMs + headerTimeoutMs : idleMs;
-    return this.#idleSinceMs + limitMs - this.#options.clock.nowMs();
+    const limitMs = this.#trace.hasPartialRequest ? idleMs + headerTimeoutMs : idleMs;
+    return this.#trace.idleSinceMs + limitMs - this.#options.clock.nowMs();
   }
 
   /** Sleeps until a request is queued, the connection closes, the task is stopped or the time is over. */
@@ -270,6 +194,6 @@
         response.once('close', resolve);
       });
     }
-    this.#idleSinceMs = this.#options.clock.nowMs();
+    this.#trace.noteIdle();
   }
 }
