Refuse unparsable bytes only behind a complete answer

Callers saw: bytes of a 400 in the middle of an answer, and the rest of the answer missing, when the bytes behind their request were not HTTP or when the head of the next request was not complete within the header limit.

Cause: the listener wrote the refusal to the socket as soon as the HTTP server reported the error, whatever was being answered on it, and ended the socket.

Change: the error goes to the connection's task, which finishes the requests that it has received and then refuses what came behind them. While the body of a request is being read, its own framing is at fault, so it is refused at once as before, unless its answer has begun. A caller that ends its connection inside a request gets no refusal, like one that ends it behind a request.

Evidence: on the code before, both cases of arrivedRequests.test.ts showed the head of the 400 instead of the end of the 200, and the answered request as unanswered.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -201,6 +201,13 @@
     to: 'Math.min(idleTimeoutMs, this.#promisedIdleMs)',
     test: 'closes no connection before the time that its caller was told',
   },
+  {
+    mechanism: 'a refusal only behind a complete answer',
+    file: 'callers/HttpConnection.ts',
+    from: 'if (this.#trace.isReadingBody) {',
+    to: 'if (this.#requestCount > 0) {',
+    test: 'is answered or refused as a whole',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/callers/ConnectionTrace.ts
+++ b/packages/rhubarbcroft/src/callers/ConnectionTrace.ts
@@ -18,6 +18,8 @@
 
   #lastRequest: IncomingMessage | undefined;
 
+  #lastResponse: ServerResponse | undefined;
+
   /** Bytes read from the socket when the last request was complete. */
   #completeBytes = 0;
 
@@ -45,6 +47,11 @@
     return this.#lastRequest?.complete === false;
   }
 
+  /** Whether the head of the answer to the last request has been sent. */
+  get hasBegunAnswer(): boolean {
+    return this.#lastResponse?.headersSent === true;
+  }
+
   /** When the connection was opened or its last answer ended. */
   get idleSinceMs(): number {
     return this.#idleSinceMs;
@@ -56,6 +63,7 @@
     const arrivedAtMs = this.#clock.nowMs();
     let forwarded = false;
     this.#lastRequest = request;
+    this.#lastResponse = response;
     request.once('end', () => {
       this.#completeBytes = this.#socket.bytesRead;
     });
--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -20,6 +20,8 @@
 import type ConnectionTimeouts from './ConnectionTimeouts.js';
 import type HttpExchange from './HttpExchange.js';
 import type HttpExchangeServer from './HttpExchangeServer.js';
+import type ParserRejection from './ParserRejection.js';
+import refuseUnparsed from './refuseUnparsed.js';
 
 interface HttpConnectionOptions {
   readonly server: HttpExchangeServer;
@@ -49,6 +51,9 @@
 
   #requestCount = 0;
 
+  /** What the HTTP server rejected after the requests that it has read; undefined while it has rejected nothing. */
+  #rejection: ParserRejection | undefined;
+
   /** Ends the task's wait for a request; undefined while it does not wait. */
   #wake: (() => void) | undefined;
 
@@ -96,6 +101,27 @@
     }
   }
 
+  /** Refuses what the HTTP server rejected; if it comes behind an unfinished answer, once that is complete. */
+  reject(rejection: ParserRejection): void {
+    if (rejection.reason === 'caller') {
+      this.noteEnd(rejection.reason, rejection.code);
+      this.#socket.end();
+      return;
+    }
+    this.#rejection = rejection;
+    if (this.#trace.isReadingBody) {
+      this.#refuse(rejection);
+    }
+    this.#wake?.();
+  }
+
+  #refuse(rejection: ParserRejection): void {
+    this.noteEnd(rejection.reason, rejection.code);
+    if (this.#socket.writable && !(this.#trace.isReadingBody && this.#trace.hasBegunAnswer)) {
+      refuseUnparsed(rejection, this.#socket);
+    }
+  }
+
   override async run(signal: AbortSignal): Promise<void> {
     const wake = (): void => this.#wake?.();
     signal.addEventListener('abort', wake, { once: true });
@@ -105,6 +131,9 @@
       exchange = await this.#receive(signal);
     }
     signal.removeEventListener('abort', wake);
+    if (this.#rejection !== undefined) {
+      this.#refuse(this.#rejection);
+    }
     this.#socket.end();
     await this.#sleep(LINGER_MS);
     this.#socket.destroy();
@@ -126,7 +155,6 @@
     }
     if (this.#isWaiting) {
       this.noteEnd(signal.aborted ? 'stop' : 'idle_limit');
-      return undefined;
     }
     const [exchange, ...others] = this.#exchanges;
     this.#exchanges = others;
@@ -141,9 +169,9 @@
     }
   }
 
-  /** Whether the connection is open and no request is queued. */
+  /** Whether the connection is open and may receive a request, and none is queued. */
   get #isWaiting(): boolean {
-    return this.#exchanges.length === 0 && !this.#socket.destroyed;
+    return this.#exchanges.length === 0 && this.#rejection === undefined && !this.#socket.destroyed;
   }
 
   /** Whether a request has begun to arrive, or the connection has not received any yet. */
--- a/packages/rhubarbcroft/src/callers/HttpListener.ts
+++ b/packages/rhubarbcroft/src/callers/HttpListener.ts
@@ -14,13 +14,12 @@
 import type CertificateWatcher from '../tls/CertificateWatcher.js';
 import waitForAbort from '../supervision/waitForAbort.js';
 import waitForEventLoop from '../supervision/waitForEventLoop.js';
-import createFailure from '@rhubarbcroft/protocol/results/createFailure';
-import formatErrorBody from '@rhubarbcroft/protocol/results/formatErrorBody';
 import type Metrics from '../telemetry/Metrics.js';
 import ConnectionEndRecorder from './ConnectionEndRecorder.js';
 import type ConnectionTimeouts from './ConnectionTimeouts.js';
 import type HttpExchangeServer from './HttpExchangeServer.js';
 import HttpConnection from './HttpConnection.js';
+import classifyClientError from './classifyClientError.js';
 
 interface HttpListenerOptions {
   readonly name: string;
@@ -47,39 +46,6 @@
 const BACKLOG = 4_096;
 /** Callers that connect without a pause must not delay a stop for longer. */
 const MAX_ACCEPT_MS = 500;
-const HEADER_OVERFLOW = 'HPE_HEADER_OVERFLOW';
-const HEADER_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
-const PARSER_ERROR_PREFIX = 'HPE_';
-/** The parser's error when the caller ends the connection inside a request. */
-const EARLY_END = 'HPE_INVALID_EOF_STATE';
-
-/** Answers a request that the HTTP parser rejected, and closes the connection. */
-function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const tooLarge = error.code === HEADER_OVERFLOW;
-  const failure = createFailure(
-    tooLarge ? 'HEADER_TOO_LARGE' : 'MALFORMED_BODY',
-    'the request is not valid HTTP',
-  );
-  const body = JSON.stringify(formatErrorBody(failure));
-  const status = tooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
-  const head = `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\nrhubarb-ran: not_run\r\nconnection: close\r\n`;
-  socket.end(`${head}content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
-}
-
-/** Notes whether a connection ends by the header timeout, a malformed request, or an error of its socket. */
-function noteClientError(error: NodeJS.ErrnoException, connection?: HttpConnection): void {
-  const { code = '' } = error;
-  if (code === HEADER_TIMEOUT) {
-    connection?.noteEnd('header_timeout');
-  } else {
-    const isMalformed = code.startsWith(PARSER_ERROR_PREFIX) && code !== EARLY_END;
-    connection?.noteEnd(isMalformed ? 'malformed' : 'caller', code);
-  }
-}
 
 export default class HttpListener extends Task {
   override readonly name: string;
@@ -170,8 +136,8 @@
       connections.get(request.socket)?.accept(request, response),
     );
     server.on('clientError', (error, socket) => {
-      noteClientError(error, connections.get(socket as Socket));
-      refuseMalformed(error, socket as Socket);
+      const rejection = classifyClientError(error);
+      connections.get(socket as Socket)?.reject(rejection);
     });
     server.on('drop', () => ends.recordRefused(maxConnections));
   }
--- /dev/null
+++ b/test/listener/arrivedRequests.test.ts
@@ -0,0 +1,41 @@
+/** Guards against a limit, an error or an end that takes the answer from a request that has arrived or is being answered. */
+import { expect } from 'chai';
+import ListenerFixture from './ListenerFixture.js';
+
+type Steps = Parameters<ListenerFixture['play']>[0];
+
+const REQUEST = 'GET /0 HTTP/1.1\r\nhost: shop\r\nx-request-id: id-12345\r\n\r\n';
+const LONG_REQUEST = REQUEST.replace('/0', '/2600');
+const SHORT_HEADS = { headerTimeoutMs: 700 };
+const WAIT = (): void => undefined;
+
+const CASES: Readonly<Record<string, Steps>> = {
+  'a head that times out behind an unfinished answer': [
+    [0, SHORT_HEADS],
+    [0, LONG_REQUEST],
+    [50, REQUEST.slice(0, 9)],
+    [3_000, WAIT],
+  ],
+  'bytes that are not HTTP behind an unfinished answer': [
+    [0, LONG_REQUEST.replace('2600', '400')],
+    [50, 'HELO shop\r\n\r\n'],
+    [600, WAIT],
+  ],
+  'a request whose caller half-closes': [
+    [0, LONG_REQUEST.replace('2600', '400')],
+    [100, (socket) => socket.end()],
+    [600, WAIT],
+  ],
+};
+
+describe('a request that has arrived', () => {
+  for (const [name, steps] of Object.entries(CASES)) {
+    it(`is answered or refused as a whole: ${name}`, async () => {
+      const listener = await new ListenerFixture().start();
+      const received = await listener.play(steps);
+      await listener.stop();
+      const { endLines, server } = listener;
+      expect({ received, endLines, served: server.servedUrls }).toMatchSnapshot();
+    });
+  }
+});
