--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -127,8 +127,8 @@
   {
     mechanism: 'finishing the request under way before a connection closes',
     file: 'callers/HttpConnection.ts',
-    from: 'this.#stop().catch(() => this.#exchanges.close());',
-    to: 'this.#socket.destroy();',
+    from: 'const wake = (): void => this.#wake?.();',
+    to: 'const wake = (): void => { this.#socket.destroy(); };',
     test: 'interrupts no stream during a rolling restart of all entry VMs',
   },
   {
@@ -215,6 +215,27 @@
     to: 'const LOST_GRACE_MS = 0;',
     test: 'keeps an attempt that makes progress although another connection to its endpoint failed',
   },
+  {
+    mechanism: 'reading what has arrived before an idle connection closes',
+    file: 'callers/HttpConnection.ts',
+    from: '} else {\n        await waitForEventLoop();',
+    to: '} else {',
+    test: 'answers a request that arrived while the process was blocked past the limit',
+  },
+  {
+    mechanism: 'an idle time no shorter than the one promised to the caller',
+    file: 'callers/HttpConnection.ts',
+    from: 'Math.max(idleTimeoutMs, this.#promisedIdleMs)',
+    to: 'Math.min(idleTimeoutMs, this.#promisedIdleMs)',
+    test: 'closes no connection before the time that its caller was told',
+  },
+  {
+    mechanism: 'a refusal only behind a complete answer',
+    file: 'callers/HttpConnection.ts',
+    from: 'if (this.#trace.isReadingBody) {',
+    to: 'if (this.#requestCount > 0) {',
+    test: 'is answered or refused as a whole',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -1,51 +1,78 @@
 /**
- * The task of one HTTP connection. Serves the requests of the connection one after the other. When the task
- * is stopped, it finishes the requests already received, announces the end of the connection with
- * `connection: close`, and closes it.
+ * The task of one HTTP connection. Serves the requests of the connection one after the other, and closes the
+ * connection when it has been idle for longer than the limit in force and longer than its `Keep-Alive` header
+ * promised. When the task is stopped, it finishes the requests already received, announces the end of the connection
+ * with `connection: close`, and closes it.
  *
- * Bytes that the kernel has received but the parser has not read yet count as received: a stopped connection
- * closes only after the event loop has read them, and it waits for a request that has begun to arrive and for the
+ * Bytes that the kernel has received but the parser has not read yet count as received: a connection closes only
+ * after the event loop has read them. A stopped connection waits for a request that has begun to arrive and for the
  * first request of a new connection.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
-import Mailbox from '../supervision/Mailbox.js';
+import type Clock from '../supervision/Clock.js';
 import Task from '../supervision/Task.js';
+import waitForAbort from '../supervision/waitForAbort.js';
 import waitForEventLoop from '../supervision/waitForEventLoop.js';
+import type ConnectionEndRecorder from './ConnectionEndRecorder.js';
+import ConnectionTrace from './ConnectionTrace.js';
+import type ConnectionTimeouts from './ConnectionTimeouts.js';
 import type HttpExchange from './HttpExchange.js';
 import type HttpExchangeServer from './HttpExchangeServer.js';
+import type ParserRejection from './ParserRejection.js';
+import refuseUnparsed from './refuseUnparsed.js';
+
+interface HttpConnectionOptions {
+  readonly server: HttpExchangeServer;
+  readonly clock: Clock;
+  readonly ends: ConnectionEndRecorder;
+  /** The limits in force; `idleTimeoutMs` is also what `Keep-Alive` promises to the request being parsed. */
+  readonly readTimeouts: () => ConnectionTimeouts;
+}
 
 /** Request ids that are accepted from callers; others are replaced by a generated id. */
 const REQUEST_ID = /^[\w.-]{8,64}$/;
 /** How long a stopped connection waits for a request that is expected: a round trip between regions and a slow core. */
 const EXPECTED_REQUEST_MS = 1_000;
+/** Added to the idle limit, for a request that its caller sends just before the limit. */
+const IDLE_MARGIN_MS = 1_000;
+/** How long a closing connection waits for the caller's own close before it is destroyed. */
+const LINGER_MS = 1_000;
 
 export default class HttpConnection extends Task {
   override readonly name = 'http-connection';
 
   readonly #socket: Socket;
 
-  readonly #server: HttpExchangeServer;
+  readonly #options: HttpConnectionOptions;
 
-  readonly #exchanges = new Mailbox<HttpExchange>();
+  #exchanges: readonly HttpExchange[] = [];
 
   #requestCount = 0;
 
-  /** Bytes read from the socket when the last request was complete. */
-  #completeBytes = 0;
+  /** What the HTTP server rejected after the requests that it has read; undefined while it has rejected nothing. */
+  #rejection: ParserRejection | undefined;
+
+  /** Ends the task's wait for a request; undefined while it does not wait. */
+  #wake: (() => void) | undefined;
+
+  /** The idle time that the `Keep-Alive` header of the last answer allows. */
+  #promisedIdleMs = 0;
 
-  /** Ends the wait of a stopped connection for an expected request; undefined while it does not wait. */
-  #finishWait: (() => void) | undefined;
+  readonly #trace: ConnectionTrace;
 
-  constructor(socket: Socket, server: HttpExchangeServer) {
+  constructor(socket: Socket, options: HttpConnectionOptions) {
     super();
     this.#socket = socket;
-    this.#server = server;
-    socket.once('close', () => {
-      this.#exchanges.close();
-      this.#finishWait?.();
-    });
+    this.#options = options;
+    this.#trace = new ConnectionTrace(socket, options.clock, options.ends);
+    socket.once('close', () => this.#wake?.());
+  }
+
+  /** Notes why the connection is about to end; the first reason counts. */
+  noteEnd(...[reason, detail]: Parameters<ConnectionTrace['noteEnd']>): void {
+    this.#trace.noteEnd(reason, detail);
   }
 
   /** Queues a request that the HTTP parser has read on this connection. */
@@ -57,51 +84,123 @@
       }
     });
     this.#requestCount += 1;
-    request.once('end', () => {
-      this.#completeBytes = this.#socket.bytesRead;
-    });
+    this.#promisedIdleMs = this.#options.readTimeouts().idleTimeoutMs;
     const receivedId = request.headers['x-request-id'];
     const requestId =
       typeof receivedId === 'string' && REQUEST_ID.test(receivedId) ? receivedId : randomUUID();
-    this.#exchanges.push({ request, response, requestId, signal: disconnected.signal });
-    this.#finishWait?.();
+    const markForwarded = this.#trace.track(request, response, requestId);
+    const cut = (cause: string): void => {
+      this.noteEnd('answer_cut', cause);
+      response.destroy();
+    };
+    const { signal } = disconnected;
+    if (!this.#socket.writableEnded) {
+      const exchange = { request, response, requestId, signal, markForwarded, cut };
+      this.#exchanges = [...this.#exchanges, exchange];
+      this.#wake?.();
+    }
+  }
+
+  /** Refuses what the HTTP server rejected; if it comes behind an unfinished answer, once that is complete. */
+  reject(rejection: ParserRejection): void {
+    if (rejection.reason === 'caller') {
+      this.noteEnd(rejection.reason, rejection.code);
+      this.#socket.end();
+      return;
+    }
+    this.#rejection = rejection;
+    if (this.#trace.isReadingBody) {
+      this.#refuse(rejection);
+    }
+    this.#wake?.();
+  }
+
+  #refuse(rejection: ParserRejection): void {
+    this.noteEnd(rejection.reason, rejection.code);
+    if (this.#socket.writable && !(this.#trace.isReadingBody && this.#trace.hasBegunAnswer)) {
+      refuseUnparsed(rejection, this.#socket);
+    }
   }
 
   override async run(signal: AbortSignal): Promise<void> {
-    const stop = (): void => {
-      this.#stop().catch(() => this.#exchanges.close());
-    };
-    signal.addEventListener('abort', stop, { once: true });
-    for await (const exchange of this.#exchanges) {
+    const wake = (): void => this.#wake?.();
+    signal.addEventListener('abort', wake, { once: true });
+    let exchange = await this.#receive(signal);
+    while (exchange !== undefined) {
       await this.#serve(exchange, signal);
+      exchange = await this.#receive(signal);
+    }
+    signal.removeEventListener('abort', wake);
+    if (this.#rejection !== undefined) {
+      this.#refuse(this.#rejection);
     }
-    signal.removeEventListener('abort', stop);
     this.#socket.end();
+    await this.#sleep(LINGER_MS);
+    this.#socket.destroy();
+  }
+
+  /** Waits for the next request. Returns undefined when the connection has closed or is to be closed. */
+  async #receive(signal: AbortSignal): Promise<HttpExchange | undefined> {
+    let isIdleLimitReached = false;
+    while (this.#isWaiting && !signal.aborted && !isIdleLimitReached) {
+      if (this.#idleLeftMs > 0) {
+        await this.#sleep(this.#idleLeftMs);
+      } else {
+        await waitForEventLoop();
+        isIdleLimitReached = this.#idleLeftMs <= 0;
+      }
+    }
+    if (this.#isWaiting && signal.aborted) {
+      await this.#finishReceiving();
+    }
+    if (this.#isWaiting) {
+      this.noteEnd(signal.aborted ? 'stop' : 'idle_limit');
+    }
+    const [exchange, ...others] = this.#exchanges;
+    this.#exchanges = others;
+    return exchange;
   }
 
-  /** Closes the queue of requests once no request is expected any more. */
-  async #stop(): Promise<void> {
+  /** Reads what a stopped connection has received, and waits for the request that is expected. */
+  async #finishReceiving(): Promise<void> {
     await waitForEventLoop();
     if (this.#isRequestExpected) {
-      await this.#waitForRequest();
+      await this.#sleep(EXPECTED_REQUEST_MS);
     }
-    this.#exchanges.close();
+  }
+
+  /** Whether the connection is open and may receive a request, and none is queued. */
+  get #isWaiting(): boolean {
+    return this.#exchanges.length === 0 && this.#rejection === undefined && !this.#socket.destroyed;
   }
 
   /** Whether a request has begun to arrive, or the connection has not received any yet. */
   get #isRequestExpected(): boolean {
-    return this.#requestCount === 0 || this.#socket.bytesRead !== this.#completeBytes;
+    return this.#requestCount === 0 || this.#trace.hasPartialRequest;
   }
 
-  /** Waits for the next request, for the end of the connection or for `EXPECTED_REQUEST_MS`. */
-  #waitForRequest(): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = setTimeout(resolve, EXPECTED_REQUEST_MS);
-      this.#finishWait = () => {
-        clearTimeout(timer);
-        resolve();
-      };
-    });
+  /** Time until the idle limit closes the connection. Until the first request, the HTTP server limits the wait. */
+  get #idleLeftMs(): number {
+    if (this.#requestCount === 0) {
+      return Infinity;
+    }
+    const { idleTimeoutMs, headerTimeoutMs } = this.#options.readTimeouts();
+    const idleMs = Math.max(idleTimeoutMs, this.#promisedIdleMs) + IDLE_MARGIN_MS;
+    const limitMs = this.#trace.hasPartialRequest ? idleMs + headerTimeoutMs : idleMs;
+    return this.#trace.idleSinceMs + limitMs - this.#options.clock.nowMs();
+  }
+
+  /** Sleeps until a request is queued, the connection closes, the task is stopped or the time is over. */
+  async #sleep(delayMs: number): Promise<void> {
+    if (this.#socket.destroyed) {
+      return;
+    }
+    const woken = new AbortController();
+    this.#wake = () => woken.abort();
+    await (delayMs === Infinity
+      ? waitForAbort(woken.signal)
+      : this.#options.clock.sleep(delayMs, woken.signal));
+    this.#wake = undefined;
   }
 
   async #serve(exchange: HttpExchange, signal: AbortSignal): Promise<void> {
@@ -115,7 +214,7 @@
       announceClose();
     }
     signal.addEventListener('abort', announceClose, { once: true });
-    await this.#server.serve(exchange);
+    await this.#options.server.serve(exchange);
     signal.removeEventListener('abort', announceClose);
     if (!response.writableFinished && !response.destroyed) {
       await new Promise<void>((resolve) => {
@@ -123,5 +222,6 @@
         response.once('close', resolve);
       });
     }
+    this.#trace.noteIdle();
   }
 }
--- a/packages/rhubarbcroft/src/callers/HttpListener.ts
+++ b/packages/rhubarbcroft/src/callers/HttpListener.ts
@@ -7,21 +7,19 @@
 import { once } from 'node:events';
 import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
+import type Logger from 'bunyan';
 import type Clock from '../supervision/Clock.js';
 import type Supervisor from '../supervision/Supervisor.js';
 import Task from '../supervision/Task.js';
 import type CertificateWatcher from '../tls/CertificateWatcher.js';
 import waitForAbort from '../supervision/waitForAbort.js';
 import waitForEventLoop from '../supervision/waitForEventLoop.js';
-import createFailure from '@rhubarbcroft/protocol/results/createFailure';
-import formatErrorBody from '@rhubarbcroft/protocol/results/formatErrorBody';
+import type Metrics from '../telemetry/Metrics.js';
+import ConnectionEndRecorder from './ConnectionEndRecorder.js';
+import type ConnectionTimeouts from './ConnectionTimeouts.js';
 import type HttpExchangeServer from './HttpExchangeServer.js';
 import HttpConnection from './HttpConnection.js';
-
-interface ListenerTimeouts {
-  readonly headerTimeoutMs: number;
-  readonly idleTimeoutMs: number;
-}
+import classifyClientError from './classifyClientError.js';
 
 interface HttpListenerOptions {
   readonly name: string;
@@ -33,38 +31,21 @@
   readonly frontEnd: HttpExchangeServer;
   readonly supervisor: Supervisor;
   readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: Metrics;
   /** The current time limits for a request's headers and for idle connections; the defaults apply without it. */
-  readonly readTimeouts?: () => ListenerTimeouts | undefined;
+  readonly readTimeouts?: () => ConnectionTimeouts | undefined;
   /** The certificate for TLS; plain HTTP without it. */
   readonly certificates: CertificateWatcher | undefined;
 }
 
-const HEADERS_TIMEOUT_MS = 10_000;
-const IDLE_CONNECTION_MS = 60_000;
+const DEFAULT_TIMEOUTS = { headerTimeoutMs: 10_000, idleTimeoutMs: 60_000 };
 /** The interval of the check for slow request headers, a fraction of their time limit. */
 const CHECK_PERIOD_MS = 1_000;
 /** The number of connections waiting to be accepted: all callers of a fleet may connect at the same time. */
 const BACKLOG = 4_096;
 /** Callers that connect without a pause must not delay a stop for longer. */
 const MAX_ACCEPT_MS = 500;
-const HEADER_OVERFLOW = 'HPE_HEADER_OVERFLOW';
-
-/** Answers a request that the HTTP parser rejected, and closes the connection. */
-function refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const tooLarge = error.code === HEADER_OVERFLOW;
-  const failure = createFailure(
-    tooLarge ? 'HEADER_TOO_LARGE' : 'MALFORMED_BODY',
-    'the request is not valid HTTP',
-  );
-  const body = JSON.stringify(formatErrorBody(failure));
-  const status = tooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
-  const head = `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\nrhubarb-ran: not_run\r\nconnection: close\r\n`;
-  socket.end(`${head}content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
-}
 
 export default class HttpListener extends Task {
   override readonly name: string;
@@ -99,8 +80,6 @@
     const { maxHeaderBytes, certificates } = this.#options;
     const limits = {
       maxHeaderSize: maxHeaderBytes,
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      keepAliveTimeout: IDLE_CONNECTION_MS,
       requestTimeout: 0,
       connectionsCheckingInterval: CHECK_PERIOD_MS,
     };
@@ -117,7 +96,7 @@
       ...limits,
       ...certificate,
       minVersion: 'TLSv1.2',
-      handshakeTimeout: HEADERS_TIMEOUT_MS,
+      handshakeTimeout: DEFAULT_TIMEOUTS.headerTimeoutMs,
     });
     certificates.onChange((renewed) => server.setSecureContext(renewed));
     server.on('tlsClientError', (_error, socket) => socket.destroy());
@@ -126,26 +105,41 @@
   }
 
   #accept(server: PlainServer | TlsServer, connected: 'connection' | 'secureConnection'): void {
-    const { frontEnd, supervisor, readTimeouts } = this.#options;
+    const { name, frontEnd, supervisor, clock, log, metrics, maxConnections } = this.#options;
+    const ends = new ConnectionEndRecorder({ listener: name, log, metrics, clock });
+    const readTimeouts = (): ConnectionTimeouts =>
+      this.#options.readTimeouts?.() ?? DEFAULT_TIMEOUTS;
+    // The server reads these whenever it writes `Keep-Alive`, arms a timer or checks heads.
+    Object.defineProperties(server, {
+      headersTimeout: { get: () => readTimeouts().headerTimeoutMs },
+      keepAliveTimeout: { get: () => readTimeouts().idleTimeoutMs },
+    });
+    // Keeps the server's own timer from closing idle connections, which HttpConnection does.
+    server.on('timeout', () => undefined);
     const connections = new WeakMap<Socket, HttpConnection>();
     server.on(connected, (socket: Socket) => {
       this.#acceptedCount += 1;
       socket.setNoDelay(true);
-      const timeouts = readTimeouts?.();
-      Object.assign(server, {
-        headersTimeout: timeouts?.headerTimeoutMs ?? HEADERS_TIMEOUT_MS,
-        keepAliveTimeout: timeouts?.idleTimeoutMs ?? IDLE_CONNECTION_MS,
+      const connection = new HttpConnection(socket, {
+        server: frontEnd,
+        clock,
+        ends,
+        readTimeouts,
       });
-      const connection = new HttpConnection(socket, frontEnd);
       connections.set(socket, connection);
       if (!supervisor.spawn(connection)) {
+        connection.noteEnd('stop', 'the supervisor starts no more tasks');
         socket.destroy();
       }
     });
     server.on('request', (request, response) =>
       connections.get(request.socket)?.accept(request, response),
     );
-    server.on('clientError', (error, socket) => refuseMalformed(error, socket as Socket));
+    server.on('clientError', (error, socket) => {
+      const rejection = classifyClientError(error);
+      connections.get(socket as Socket)?.reject(rejection);
+    });
+    server.on('drop', () => ends.recordRefused(maxConnections));
   }
 
   /** Accepts what waits in the backlog, since closing the listening socket would reset those connections. */
