Keep the parser of an endpoint's answer unpaused, whose pause could end the process

What callers saw: every open connection of a node closed at once, because the process ended by itself.

Cause: undici pauses its parser when 64 KiB of a body are unread. If the connection of an answer that is not kept (`Connection: close`, HTTP/1.0, neither a length nor chunks) ends or is reset at that moment, its socket listener asserts that the parser is not paused, and throws outside the request. A caller that reads a stream slowly and an endpoint that leaves in the middle suffice.

Change: the client pauses only at 4 MiB of unread bytes, and EndpointConnection closes a connection with more than 2 MiB unread, as many as the largest buffered answer has, so the parser is never paused. Unread bytes no longer count as bytes without a body. A caller more than 2 MiB behind its endpoint now loses the attempt, where it slowed the endpoint down before.

Evidence: the test failed before with an uncaught AssertionError in Parser.finish, for an end and for a reset; it passes now. The same client streams in HttpEngineDriver, the daemon's own driver, which is unchanged.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -187,6 +187,13 @@
     to: 'return 0.05 * prefillMs * candidate.running * streamDelayWeight * Math.sign(pauseShare);',
     test: 'keeps short prompts in time and pauses no stream for long',
   },
+  {
+    mechanism: 'a parser that is never paused',
+    file: 'instances/EndpointConnection.ts',
+    from: 'highWaterMark: PAUSE_BYTES,',
+    to: '',
+    test: 'ends the answer and not the process when it breaks off while its reader is slow',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -22,6 +22,13 @@
 const MAX_OVERHEAD_BYTES = 1_048_576;
 /** A chunk of one byte has five bytes of framing; endpoints may add short extensions. */
 const MAX_OVERHEAD_PER_BODY_BYTE = 16;
+/** Unread bytes of a body beyond which its connection is closed, as large as the largest buffered answer. */
+const MAX_UNREAD_BYTES = 2_097_152;
+/**
+ * Unread bytes at which the client pauses its parser, above what the limit lets accumulate: it throws outside the
+ * request, and so ends the process, if the connection ends while its parser is paused.
+ */
+const PAUSE_BYTES = 2 * MAX_UNREAD_BYTES;
 const FRAMING_HEADERS = new Set(['content-length', 'transfer-encoding']);
 
 /** Whether a header marks the end of the body; otherwise the body ends with the connection. */
@@ -48,6 +55,9 @@
   /** Bytes of the current answer's body that were returned. */
   #bodyBytes = 0;
 
+  /** The current answer's body. */
+  #body: Dispatcher.ResponseData['body'] | undefined;
+
   constructor(address: string, connectTimeoutMs: number) {
     this.#client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -86,7 +96,9 @@
         body: call.body === undefined || call.body.length === 0 ? null : call.body,
         signal,
         responseHeaders: 'raw',
+        highWaterMark: PAUSE_BYTES,
       });
+      this.#body = response.body;
       const rawHeaders = response.headers as unknown as readonly string[];
       const body = this.#readBody(response.body, isFramed(rawHeaders));
       const isFirst = this.#answerCount === 0;
@@ -121,11 +133,20 @@
   #startByteCount(): void {
     this.#bytesBefore = this.#socket?.bytesRead ?? 0;
     this.#bodyBytes = 0;
+    this.#body = undefined;
   }
 
-  /** Ends a connection on which the bytes that carry no body do not end: heads, interim answers, chunk extensions. */
+  /**
+   * Ends a connection on which the bytes that carry no body do not end (heads, interim answers, chunk extensions), or
+   * whose reader is too far behind.
+   */
   #checkOverhead(socket: Socket): void {
-    const overheadBytes = socket.bytesRead - this.#bytesBefore - this.#bodyBytes;
+    const unreadBytes = this.#body?.readableLength ?? 0;
+    if (unreadBytes > MAX_UNREAD_BYTES) {
+      socket.destroy(new Error(`${unreadBytes} bytes of the answer are unread`));
+      return;
+    }
+    const overheadBytes = socket.bytesRead - this.#bytesBefore - this.#bodyBytes - unreadBytes;
     if (overheadBytes > MAX_OVERHEAD_BYTES + this.#bodyBytes * MAX_OVERHEAD_PER_BODY_BYTE) {
       socket.destroy(new Error(`${overheadBytes} bytes of the answer carry no body`));
     }
--- a/test/forwarding/connection.test.ts
+++ b/test/forwarding/connection.test.ts
@@ -24,6 +24,10 @@
   }
 }
 
+function fail(failure: unknown): never {
+  throw new Error(JSON.stringify(failure));
+}
+
 describe('EndpointConnection', () => {
   const servers: Server[] = [];
 
@@ -79,6 +83,26 @@
     expect(outcomes).toMatchSnapshot();
   });
 
+  it('ends the answer and not the process when it breaks off while its reader is slow', async () => {
+    const start = 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 999999\r\n\r\n';
+    const breakOff = async (finish: (socket: Socket) => void): Promise<unknown> => {
+      const address = await serve((socket) => {
+        socket.write(`${start}${'x'.repeat(70_000)}`);
+        setTimeout(() => finish(socket), 20);
+      });
+      const connection = new EndpointConnection(address, 500);
+      const { body } = (await connection.send(CALL, AbortSignal.timeout(1_000))).unwrapOrElse(fail);
+      await sleep(100);
+      const startedAtMs = performance.now();
+      const isCut = (await readAll(body)).endsWith('(cut)');
+      connection.close();
+      return { isCut, isPrompt: performance.now() - startedAtMs < 500 };
+    };
+    const expected = { isCut: true, isPrompt: true };
+    expect(await breakOff((socket) => socket.end())).to.deep.equal(expected);
+    expect(await breakOff((socket) => socket.resetAndDestroy())).to.deep.equal(expected);
+  });
+
   it('reports a request as unsent when no connection could be made', async () => {
     const address = await serve(() => undefined);
     servers.forEach((server) => server.close());
