Refuse an answer with a transfer coding other than chunks

What callers saw: a body with `Transfer-Encoding: gzip` or `identity` that was reset halfway came as a complete success, and a coded body came without the header that names its coding.

Cause: any transfer-encoding header counted as the frame of the body. Only chunks mark its end; other codings end with the connection, and the client completes such a body on a reset too.

Change: such an answer is broken when its head arrives. Callers request no coding, so no endpoint has a reason to send it.

Evidence: two cases of the table in test/forwarding/connection.test.ts gave 200 with the partial body before, closed in order and reset; both are broken now.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -194,6 +194,13 @@
     to: '',
     test: 'ends the answer and not the process when it breaks off while its reader is slow',
   },
+  {
+    mechanism: 'refusing transfer codings other than chunks',
+    file: 'instances/EndpointConnection.ts',
+    from: 'if (coding !== undefined) {',
+    to: 'if (coding === null) {',
+    test: 'returns a complete answer whatever bytes follow it, and reports a truncated one',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -29,12 +29,24 @@
  * request, and so ends the process, if the connection ends while its parser is paused.
  */
 const PAUSE_BYTES = 2 * MAX_UNREAD_BYTES;
-const FRAMING_HEADERS = new Set(['content-length', 'transfer-encoding']);
+
+function listHeaderValues(rawHeaders: readonly string[], name: string): readonly string[] {
+  return rawHeaders.filter(
+    (_value, index) => index % 2 === 1 && rawHeaders[index - 1].toLowerCase() === name,
+  );
+}
+
+/** A transfer coding that changes the body or leaves its end open; callers request none. */
+function findForeignCoding(rawHeaders: readonly string[]): string | undefined {
+  return listHeaderValues(rawHeaders, 'transfer-encoding').find(
+    (value) => value.trim().toLowerCase() !== 'chunked',
+  );
+}
 
 /** Whether a header marks the end of the body; otherwise the body ends with the connection. */
 function isFramed(rawHeaders: readonly string[]): boolean {
-  return rawHeaders.some(
-    (name, index) => index % 2 === 0 && FRAMING_HEADERS.has(name.toLowerCase()),
+  return ['content-length', 'transfer-encoding'].some(
+    (name) => listHeaderValues(rawHeaders, name).length > 0,
   );
 }
 
@@ -100,6 +112,11 @@
       });
       this.#body = response.body;
       const rawHeaders = response.headers as unknown as readonly string[];
+      const coding = findForeignCoding(rawHeaders);
+      if (coding !== undefined) {
+        this.close();
+        return err({ kind: 'broken', detail: `the answer has the transfer coding "${coding}"` });
+      }
       const body = this.#readBody(response.body, isFramed(rawHeaders));
       const isFirst = this.#answerCount === 0;
       this.#answerCount += 1;
--- a/test/forwarding/connection.test.ts
+++ b/test/forwarding/connection.test.ts
@@ -74,6 +74,13 @@
         socket.write('HTTP/1.1 200 OK\r\n\r\nopen');
         setTimeout(() => socket.resetAndDestroy(), 20);
       }),
+      'a transfer coding without chunks, closed in order': await exchange((socket) =>
+        socket.end('HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nopen'),
+      ),
+      'a transfer coding without chunks, reset': await exchange((socket) => {
+        socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nopen');
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      }),
       'chunks that do not end': await exchange((socket) =>
         socket.end('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nopen\r\n'),
       ),
