Pass on answers that have no length and end with their connection

What callers saw: 502, or a cut stream, for each answer of an endpoint with neither a length nor chunks.

Cause: such an answer was always taken as truncated.

Change: the answer is complete if the socket reported the orderly end of the endpoint's side, which a reset, a timeout or a limit never does (undici completes the body on a reset too). A stream must also end at the end of an event, and its connection is closed. Callers get a length or chunks as before.

Evidence: "closed in order" and "reset, then resumed without a length" ended cut before, and are complete now; a reset, an end inside an event and an end after the head are cut before and now.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -201,6 +201,20 @@
     to: 'if (coding === null) {',
     test: 'returns a complete answer whatever bytes follow it, and reports a truncated one',
   },
+  {
+    mechanism: 'the order in which a connection ends decides an answer without a length',
+    file: 'instances/EndpointConnection.ts',
+    from: 'if (!this.#hasEnded) {',
+    to: 'if (this.#client.closed && !this.#client.destroyed) {',
+    test: 'returns a complete answer whatever bytes follow it, and reports a truncated one',
+  },
+  {
+    mechanism: 'a success without a length or a body is broken',
+    file: 'instances/EndpointConnection.ts',
+    from: 'if (this.#bodyBytes === 0 && status < FIRST_REDIRECT) {',
+    to: 'if (this.#bodyBytes < 0 && status < FIRST_REDIRECT) {',
+    test: 'returns a complete answer whatever bytes follow it, and reports a truncated one',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -1,8 +1,8 @@
 /**
  * One HTTP connection to an endpoint. It is never reopened, so a request that failed before the connection was
- * established was certainly not sent. A body without a framing header ends with its connection and cannot be
- * distinguished from a truncated one, because an endpoint that stops in the middle may close the connection cleanly too;
- * such a body is an error. So is an answer whose bytes outside its body do not end.
+ * established was certainly not sent. A body without a framing header ends with its connection: it is complete if the
+ * endpoint closed the connection in order, and an error if the connection was reset. An answer whose bytes outside its
+ * body do not end is an error too.
  */
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
@@ -29,6 +29,7 @@
  * request, and so ends the process, if the connection ends while its parser is paused.
  */
 const PAUSE_BYTES = 2 * MAX_UNREAD_BYTES;
+const FIRST_REDIRECT = 300;
 
 function listHeaderValues(rawHeaders: readonly string[], name: string): readonly string[] {
   return rawHeaders.filter(
@@ -59,6 +60,9 @@
 
   #isClosed = false;
 
+  /** Whether the endpoint has closed its side in order; not set when the connection fails. */
+  #hasEnded = false;
+
   #answerCount = 0;
 
   /** Bytes read on the connection before the current answer. */
@@ -117,10 +121,13 @@
         this.close();
         return err({ kind: 'broken', detail: `the answer has the transfer coding "${coding}"` });
       }
-      const body = this.#readBody(response.body, isFramed(rawHeaders));
+      const status = response.statusCode;
+      const body = isFramed(rawHeaders)
+        ? this.#readBody(response.body)
+        : this.#readUnframedBody(response.body, status);
       const isFirst = this.#answerCount === 0;
       this.#answerCount += 1;
-      return ok({ status: response.statusCode, rawHeaders, body, isFirst });
+      return ok({ status, rawHeaders, body, isFirst });
     } catch (error) {
       const detail = (error as Error).message;
       return err({ kind: this.#socket === undefined ? 'unsent' : 'broken', detail });
@@ -132,18 +139,28 @@
     void this.#client.destroy();
   }
 
-  async *#readBody(
-    body: Dispatcher.ResponseData['body'],
-    isBodyFramed: boolean,
-  ): AsyncGenerator<Buffer, void, undefined> {
+  async *#readBody(body: Dispatcher.ResponseData['body']): AsyncGenerator<Buffer, void, undefined> {
     for await (const chunk of body) {
       this.#bodyBytes += (chunk as Buffer).length;
       yield chunk as Buffer;
     }
-    if (!isBodyFramed) {
-      throw new Error(
-        'the connection closed during an answer without content-length or transfer-encoding, which may be truncated',
-      );
+  }
+
+  /**
+   * Reads a body that ends with its connection. The client completes it on a reset too. A success without a body is an
+   * error, because an endpoint that stops after its head leaves the same bytes.
+   */
+  async *#readUnframedBody(
+    body: Dispatcher.ResponseData['body'],
+    status: number,
+  ): AsyncGenerator<Buffer, void, undefined> {
+    yield* this.#readBody(body);
+    this.close();
+    if (!this.#hasEnded) {
+      throw new Error('the connection failed during an answer that ends with its connection');
+    }
+    if (this.#bodyBytes === 0 && status < FIRST_REDIRECT) {
+      throw new Error('the connection closed after the head of an answer without a length');
     }
   }
 
@@ -193,6 +210,9 @@
       socket.once('close', () => {
         this.#isClosed = true;
       });
+      socket.once('end', () => {
+        this.#hasEnded = true;
+      });
       this.#socket = socket;
       // Before the client's own listener, which parses what was read.
       socket.on('readable', () => this.#checkOverhead(socket));
--- /dev/null
+++ b/test/forwarding/brokenStreams.test.ts
@@ -0,0 +1,96 @@
+/**
+ * Guards against streams that reach the caller as complete although they broke off, and against bytes of another answer
+ * in the middle of a stream: the endpoints write raw bytes, and the caller's connection is read as raw bytes.
+ */
+import { connect } from 'node:net';
+import { expect } from 'chai';
+import type Arrival from '../platform/standins/Arrival.js';
+import ReplicaStandin from '../platform/standins/ReplicaStandin.js';
+import StoreStandin from '../platform/standins/StoreStandin.js';
+import createConfiguration from '../platform/standins/createConfiguration.js';
+import startGateway from '../platform/standins/startGateway.js';
+
+type Ending = 'end' | 'reset';
+type Script = (arrival: Arrival) => void;
+
+const EVENT_STREAM = 'content-type: text/event-stream\r\n';
+
+function createHead(fields: string, status = '200 OK', id = 'r'): string {
+  return `HTTP/1.1 ${status}\r\nx-request-id: ${id}\r\nx-response-seal: s\r\n${fields}\r\n`;
+}
+
+function createEvents(first: number, last: number): string {
+  const ids = Array.from({ length: last - first + 1 }, (_unused, index) => first + index);
+  return ids.map((id) => `id: ${id}\ndata: ${id}\n\n`).join('');
+}
+
+/** Writes raw bytes, then closes the connection in order or resets it. */
+function write(bytes: string, ending: Ending = 'end'): Script {
+  return ({ socket }) => {
+    socket.write(bytes);
+    setTimeout(() => (ending === 'end' ? socket.end() : socket.resetAndDestroy()), 30);
+  };
+}
+
+describe('a stream of an endpoint', () => {
+  const store = new StoreStandin();
+  const replicas = [1, 2].map((index) => new ReplicaStandin(`decode-${index}`, 'model', 'decode'));
+  const gateways: Awaited<ReturnType<typeof startGateway>>[] = [];
+
+  before(async () => {
+    await store.start();
+    store.put('op', 'config', createConfiguration(3));
+    await Promise.all(replicas.map((replica) => replica.start()));
+    replicas.forEach((replica) => store.put('servers', replica.id, replica.createEntry()));
+  });
+
+  after(async () => {
+    await Promise.all(gateways.map((gateway) => gateway.stop()));
+    await Promise.all(replicas.map((replica) => replica.stop()));
+    await store.stop();
+  });
+
+  /** What a caller reads from its connection while the endpoints answer its attempts by the scripts in turn. */
+  async function receive(...scripts: readonly Script[]): Promise<unknown> {
+    const rest = [...scripts];
+    replicas.forEach((replica) =>
+      Object.assign(replica, { behaviour: (arrival: Arrival) => rest.shift()?.(arrival) }),
+    );
+    const gateway = await startGateway({ storeUrl: store.url });
+    gateways.push(gateway);
+    const { hostname, port } = new URL(gateway.url);
+    const socket = connect(Number(port), hostname);
+    socket.write(
+      'GET /audit/1 HTTP/1.1\r\nhost: shop.example\r\nx-request-id: r\r\nx-deadline-ms: 1500\r\nconnection: close\r\n\r\n',
+    );
+    let text = '';
+    try {
+      for await (const bytes of socket) {
+        text += (bytes as Buffer).toString('latin1');
+      }
+    } catch {
+      text += '(reset)';
+    }
+    const [head, ...body] = text.split('\r\n\r\n');
+    return {
+      status: head.slice(9, 12),
+      events: [...body.join('\r\n\r\n').matchAll(/data: (.*)/g)].map(([, data]) => data).join(' '),
+      foreign: /HTTP\/1|error|oops/.test(body.join()) && head.startsWith('HTTP/1.1 200'),
+      end: text.endsWith('\r\n0\r\n\r\n') ? 'complete' : 'cut',
+    };
+  }
+
+  it('without a length is complete only when it ends in order and at the end of an event', async () => {
+    const stream = createHead(EVENT_STREAM) + createEvents(1, 2);
+    expect({
+      'closed in order after an event': await receive(write(stream)),
+      'closed in order inside an event': await receive(write(`${stream}id: 3\nda`), write('')),
+      'reset after an event': await receive(write(stream, 'reset'), write('')),
+      'closed in order without an event': await receive(write(createHead(EVENT_STREAM)), write('')),
+      'reset, then resumed without a length': await receive(
+        write(stream, 'reset'),
+        write(createHead(EVENT_STREAM) + createEvents(3, 4)),
+      ),
+    }).toMatchSnapshot();
+  });
+});
--- a/test/forwarding/connection.test.ts
+++ b/test/forwarding/connection.test.ts
@@ -74,6 +74,16 @@
         socket.write('HTTP/1.1 200 OK\r\n\r\nopen');
         setTimeout(() => socket.resetAndDestroy(), 20);
       }),
+      'without a length, HTTP/1.0, reset': await exchange((socket) => {
+        socket.write('HTTP/1.0 200 OK\r\nconnection: keep-alive\r\n\r\nopen');
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      }),
+      'without a length or a body, closed in order': await exchange((socket) =>
+        socket.end('HTTP/1.1 200 OK\r\n\r\n'),
+      ),
+      'a failure without a length or a body, closed in order': await exchange((socket) =>
+        socket.end('HTTP/1.1 500 Failed\r\n\r\n'),
+      ),
       'a transfer coding without chunks, closed in order': await exchange((socket) =>
         socket.end('HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nopen'),
       ),
