Test that an answer cut at any byte is reported as broken

A report of other operators: a replica stopped in the middle of its answer's head, and clients got a 200 with an empty or short body, framed as whole. It cuts answers with a length (HTTP/1.1 and 1.0), in chunks and after interim answers at each byte, with an orderly close and with a reset.

--- a/test/forwarding/connection.test.ts
+++ b/test/forwarding/connection.test.ts
@@ -100,6 +100,36 @@
     expect(outcomes).toMatchSnapshot();
   });
 
+  it('reports an answer that is cut anywhere before its end, in order or by a reset', async () => {
+    const head = '200 OK\r\nx-response-seal: s\r\nconnection: close\r\n';
+    const sized = `${head}content-length: 5\r\n\r\nwhole`;
+    const chunked = `${head}transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`;
+    const answers = {
+      'with a length': `HTTP/1.1 ${sized}`,
+      'with a length, HTTP/1.0': `HTTP/1.0 ${sized}`,
+      'in chunks': `HTTP/1.1 ${chunked}`,
+      'after an interim answer': `HTTP/1.1 103 Hints\r\nlink: l\r\n\r\nHTTP/1.1 ${sized}`,
+      'after an unexpected 100': `HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 ${sized}`,
+    };
+    const cutAt = async (answer: string, end: number, isReset: boolean): Promise<string> => {
+      const outcome = await exchange((socket) => {
+        socket.write(answer.slice(0, end));
+        setTimeout(() => (isReset ? socket.resetAndDestroy() : socket.end()), 20);
+      });
+      return (outcome as readonly unknown[]).join(', ');
+    };
+    const outcomes = await Promise.all(
+      Object.entries(answers).map(async ([name, answer]) => {
+        const cuts = Array.from({ length: answer.length }, (_unused, end) => end);
+        const seen = await Promise.all(
+          cuts.flatMap((end) => [cutAt(answer, end, false), cutAt(answer, end, true)]),
+        );
+        return [name, [...new Set(seen)].sort()];
+      }),
+    );
+    expect(Object.fromEntries(outcomes)).toMatchSnapshot();
+  });
+
   it('ends the answer and not the process when it breaks off while its reader is slow', async () => {
     const start = 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 999999\r\n\r\n';
     const breakOff = async (finish: (socket: Socket) => void): Promise<unknown> => {
