Relay only events that continue a broken stream

What callers saw: after part of a stream, an empty answer of the next endpoint ended the stream as complete; a stream from another event than the one after Last-Event-Id repeated events; a success with other text, and a head or a text inside a body, stood in the middle of the stream.

Cause: the relay passed on whatever ended with a blank line, and any orderly end of a signed 200 was the end of the stream.

Change: EventSequence checks events before they are relayed. Each line must be a field of an event or a comment, ids do not decrease, and a resumed stream starts with an event after the last one; without such an event its end is an error. The id from which a stream is resumed is now that of the last relayed event, not of the last one read. Ids only have to increase, so a gap at the point of resumption can't be detected.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -191,7 +191,7 @@
     mechanism: 'a parser that is never paused',
     file: 'instances/EndpointConnection.ts',
     from: 'highWaterMark: PAUSE_BYTES,',
-    to: '',
+    to: 'highWaterMark: PAUSE_BYTES / 64,',
     test: 'ends the answer and not the process when it breaks off while its reader is slow',
   },
   {
@@ -205,7 +205,7 @@
     mechanism: 'the order in which a connection ends decides an answer without a length',
     file: 'instances/EndpointConnection.ts',
     from: 'if (!this.#hasEnded) {',
-    to: 'if (this.#client.closed && !this.#client.destroyed) {',
+    to: 'if (!this.#hasEnded && this.#socket === undefined) {',
     test: 'returns a complete answer whatever bytes follow it, and reports a truncated one',
   },
   {
@@ -215,6 +215,34 @@
     to: 'if (this.#bodyBytes < 0 && status < FIRST_REDIRECT) {',
     test: 'returns a complete answer whatever bytes follow it, and reports a truncated one',
   },
+  {
+    mechanism: 'each line of a stream is a field of an event',
+    file: 'forwarding/EventSequence.ts',
+    from: 'some((line) => !FIELD_LINE.test(line))',
+    to: 'some((line) => !FIELD_LINE.test(line) && line.length === 0)',
+    test: 'goes on only with the events after its last one',
+  },
+  {
+    mechanism: 'ids of events that do not decrease',
+    file: 'forwarding/EventSequence.ts',
+    from: 'if (order < 0) {',
+    to: 'if (order < -Infinity) {',
+    test: 'goes on only with the events after its last one',
+  },
+  {
+    mechanism: 'a resumed stream goes on after its last event',
+    file: 'forwarding/EventSequence.ts',
+    from: 'if (awaitsEvent && hasData && order === 0) {',
+    to: 'if (awaitsEvent && hasData && order === Infinity) {',
+    test: 'goes on only with the events after its last one',
+  },
+  {
+    mechanism: 'a resumed stream has an event',
+    file: 'forwarding/StreamRelay.ts',
+    from: 'if (this.#sequence.awaitsEvent) {',
+    to: 'if (this.#sequence === undefined) {',
+    test: 'goes on only with the events after its last one',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
+++ b/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
@@ -5,6 +5,7 @@
  */
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
+import EventSequence from './EventSequence.js';
 import EventSplitter from './EventSplitter.js';
 import copyAnswerHeaders from './copyAnswerHeaders.js';
 
@@ -18,6 +19,8 @@
 
   readonly #splitter = new EventSplitter();
 
+  readonly #sequence = new EventSequence();
+
   #eventBytes = 0;
 
   constructor(response: ServerResponse) {
@@ -34,9 +37,9 @@
     return this.#eventBytes > 0;
   }
 
-  /** The id of the last complete event; undefined when no event had an id. */
+  /** The id of the last relayed event; undefined when no event had an id. */
   get lastEventId(): string | undefined {
-    return this.#splitter.lastEventId;
+    return this.#sequence.lastId;
   }
 
   /** Sends the head of the first answer; the heads of later attempts are ignored. */
@@ -49,13 +52,16 @@
 
   /**
    * Relays a body and calls `onProgress` for each chunk that completes an event with data: bytes inside an event
-   * and comments are no progress. Throws when the body is truncated or an event is too large.
+   * and comments are no progress. Throws when the body is truncated, an event is too large, or the events do not
+   * continue those of earlier attempts.
    */
   async relay(body: AsyncIterable<Buffer>, onProgress: () => void): Promise<void> {
     this.#splitter.discardPartialEvent();
+    this.#sequence.beginAttempt();
     for await (const chunk of body) {
       const countBefore = this.#splitter.dataEvents;
       const events = this.#splitter.push(chunk);
+      this.#sequence.add(events);
       if (events.length > 0 && this.#response.writable) {
         this.#eventBytes += events.length;
         if (!this.#response.write(events)) {
@@ -69,6 +75,9 @@
     if (!this.#splitter.isAtEventBoundary) {
       throw new Error('the stream ended in the middle of an event');
     }
+    if (this.#sequence.awaitsEvent) {
+      throw new Error('the resumed stream ended without an event');
+    }
   }
 
   end(): void {
--- a/test/forwarding/brokenStreams.test.ts
+++ b/test/forwarding/brokenStreams.test.ts
@@ -15,6 +15,8 @@
 
 const EVENT_STREAM = 'content-type: text/event-stream\r\n';
 
+const OOPS = 'HTTP/1.1 500 Oops\r\ncontent-length: 14\r\n\r\nerror: oops\n\n\n';
+
 function createHead(fields: string, status = '200 OK', id = 'r'): string {
   return `HTTP/1.1 ${status}\r\nx-request-id: ${id}\r\nx-response-seal: s\r\n${fields}\r\n`;
 }
@@ -24,6 +26,16 @@
   return ids.map((id) => `id: ${id}\ndata: ${id}\n\n`).join('');
 }
 
+function createChunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+/** A whole answer in chunks. */
+function createStream(text: string, fields = EVENT_STREAM): string {
+  const chunks = (text === '' ? '' : createChunk(text)) + createChunk('');
+  return createHead(`${fields}transfer-encoding: chunked\r\n`) + chunks;
+}
+
 /** Writes raw bytes, then closes the connection in order or resets it. */
 function write(bytes: string, ending: Ending = 'end'): Script {
   return ({ socket }) => {
@@ -93,4 +105,49 @@
       ),
     }).toMatchSnapshot();
   });
+
+  it('that broke off goes on only with the events after its last one, and never ends as complete otherwise', async () => {
+    const broken = write(
+      createHead(`${EVENT_STREAM}transfer-encoding: chunked\r\n`) +
+        createChunk(`${createEvents(1, 2)}id: 3\nda`),
+      'reset',
+    );
+    const error = 'content-length: 14\r\n';
+    const declined = `x-not-executed: 1\r\n${error}`;
+    const text = '\r\nerror: oops\n\n';
+    const answers = {
+      'the next events': createStream(createEvents(3, 4)),
+      'a failure': createHead(error, '500 Oops') + text,
+      'an unsigned failure': OOPS,
+      'a refusal': createHead(declined, '503 Full') + text,
+      'a refusal that may have run': createHead(error, '503 Full') + text,
+      'a refusal of a misdirected request': createHead(error, '421 Misdirected') + text,
+      'an unsigned stream': createStream(createEvents(3, 4)).replace('x-response-seal: s\r\n', ''),
+      'a stream of another request': createStream(createEvents(3, 4)).replace('id: r', 'id: q'),
+      'a success of another type': createStream(
+        '{"error":\n\n"oops"}\n\n',
+        'content-type: application/json\r\n',
+      ),
+      'an empty stream with a length': createHead(`${EVENT_STREAM}content-length: 0\r\n`),
+      'an empty stream in chunks': createStream(''),
+      'a comment only': createStream(': waiting\n\n'),
+      'no content': createHead('', '204 No Content'),
+      'partial content': createHead(error, '206 Partial Content') + text,
+      'the stream from its start': createStream(createEvents(1, 4)),
+      'its last event again': createStream(createEvents(2, 4)),
+      'an event without an id': createStream('data: error oops\n\n'),
+      'a head after the next event': createStream(createEvents(3, 3) + OOPS),
+      'a text after the next event': createStream(`${createEvents(3, 3)}error: oops\n\n`),
+      'an earlier event after the next one': createStream(createEvents(3, 3) + createEvents(1, 4)),
+    };
+    const outcomes: Record<string, unknown> = {};
+    for (const [name, answer] of Object.entries(answers)) {
+      outcomes[name] = await receive(broken, write(answer));
+    }
+    outcomes['a head in a stream without a length'] = await receive(
+      write(createHead(EVENT_STREAM) + createEvents(1, 2) + OOPS),
+      write(''),
+    );
+    expect(outcomes).toMatchSnapshot();
+  });
 });
