Drop a held failure once a later attempt's stream has begun

What callers saw: a cut stream, as they should, but the node logged an internal error for it.

Cause: a failure of a first attempt was held as the answer in case no later one is better. When the second attempt's stream broke off, the failure was written after the head of that stream, which throws.

Change: a held answer is dropped once a stream has begun; the stream is cut as after other failed attempts.

Evidence: the case "after a failure" logged ERR_HTTP_HEADERS_SENT as an internal error before, and logs none now.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -243,6 +243,13 @@
     to: 'if (this.#sequence === undefined) {',
     test: 'goes on only with the events after its last one',
   },
+  {
+    mechanism: 'no buffered answer after the head of a stream',
+    file: 'forwarding/Forwarder.ts',
+    from: 'held: hasBegun ? undefined : held,',
+    to: 'held: hasBegun && held === undefined ? undefined : held,',
+    test: 'goes on only with the events after its last one',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -105,7 +105,7 @@
         maxPauseMs: mayRunAgain ? findMaxPauseMs(request) : undefined,
       });
       const result = await attempt.run(signal);
-      progress = Forwarder.#recordResult(progress, placement, result);
+      progress = Forwarder.#recordResult(progress, placement, result, relay.hasBegun);
       this.#log(request, placement, result, progress);
       if (!this.#mayRetry(request, progress, signal)) {
         return Forwarder.#conclude(progress, placement, signal);
@@ -200,15 +200,22 @@
     }
   }
 
-  static #recordResult(progress: Progress, placement: Placement, result: AttemptResult): Progress {
+  static #recordResult(
+    progress: Progress,
+    placement: Placement,
+    result: AttemptResult,
+    hasBegun: boolean,
+  ): Progress {
     const mayHaveRun = result.type !== 'failed' || result.ran !== 'not_run';
+    const held = result.type === 'held' ? result.answer : progress.held;
     return {
       runs: progress.runs + (mayHaveRun ? 1 : 0),
       sends: progress.sends + 1,
       ran: mayHaveRun ? 'unknown' : progress.ran,
       triedIds: new Set([...progress.triedIds, placement.target.instance.id]),
       last: result,
-      held: result.type === 'held' ? result.answer : progress.held,
+      // A buffered answer of an earlier attempt can't follow the head of a stream.
+      held: hasBegun ? undefined : held,
     };
   }
 
--- a/test/forwarding/brokenStreams.test.ts
+++ b/test/forwarding/brokenStreams.test.ts
@@ -3,6 +3,7 @@
  * in the middle of a stream: the endpoints write raw bytes, and the caller's connection is read as raw bytes.
  */
 import { connect } from 'node:net';
+import bunyan from 'bunyan';
 import { expect } from 'chai';
 import type Arrival from '../platform/standins/Arrival.js';
 import ReplicaStandin from '../platform/standins/ReplicaStandin.js';
@@ -148,6 +149,12 @@
       write(createHead(EVENT_STREAM) + createEvents(1, 2) + OOPS),
       write(''),
     );
+    outcomes['after a failure'] = await receive(
+      write(createHead(error, '500 Oops') + text),
+      broken,
+    );
     expect(outcomes).toMatchSnapshot();
+    const lines = gateways.flatMap((gateway) => gateway.lines);
+    expect(lines.filter(({ level }) => Number(level) >= bunyan.ERROR)).to.deep.equal([]);
   });
 });
