Use no instance whose entry has an invalid address, number or id

What callers saw: 500 for requests that were routed to an entry of another writer with a port or an octet out of range. The same entry of an engine would have failed the task that sends orders, once for each run that it names.

Cause: any digits passed as an address, and the HTTP client throws when it is created for one with which no URL can be made. Numbers only had to be finite: slots of 1e300 look idle, a start or a sequence of 1e300 outranks all further registrations of that instance, and an id with a line break can't be sent in a header.

Change: the registry checks each instance, whether it comes from the store or from a peer's page, with findInstanceFault. One that can't be used counts as removed, and is logged.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -250,6 +250,13 @@
     to: 'held: hasBegun && held === undefined ? undefined : held,',
     test: 'goes on only with the events after its last one',
   },
+  {
+    mechanism: 'entries that cannot be used count as removed',
+    file: 'instances/InstanceRegistry.ts',
+    from: 'if (fault !== undefined) {',
+    to: 'if (fault === null) {',
+    test: 'names no replica to use, and the other entries hold',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/instances/InstanceRegistry.ts
+++ b/packages/rhubarbcroft/src/instances/InstanceRegistry.ts
@@ -4,7 +4,7 @@
  * Updates of an instance only move forward: one with an earlier start or a lower sequence is a late write and
  * is ignored. An entry that disappears during an outage of the store, or shortly after it, may still be alive,
  * because entries expire when they cannot be renewed; it is removed if it is still missing after a grace
- * period. Any other removal takes effect immediately.
+ * period. Any other removal takes effect immediately. An entry that cannot be used counts as removed.
  */
 import type Logger from 'bunyan';
 import type FeedPage from '../discovery/FeedPage.js';
@@ -13,6 +13,7 @@
 import type Clock from '../supervision/Clock.js';
 import type Instance from './Instance.js';
 import InstanceState from './InstanceState.js';
+import findInstanceFault from './findInstanceFault.js';
 
 interface InstanceRegistryOptions {
   readonly routing: CurrentRouting;
@@ -139,6 +140,15 @@
   }
 
   #accept(id: string, version: number, instance: Instance): void {
+    const fault = instance.id === id ? findInstanceFault(instance) : 'its id is not its key';
+    if (fault !== undefined) {
+      this.#options.log.warn(
+        { instance: id, version, reason: fault },
+        'instance cannot be used; treating it as removed',
+      );
+      this.#remove(id, version);
+      return;
+    }
     const existing = this.#entries.get(id);
     if (existing === undefined) {
       this.#add(id, version, instance);
--- /dev/null
+++ b/test/discovery/oddEntries.test.ts
@@ -0,0 +1,144 @@
+/**
+ * Guards against entries of another writer among those of the replicas and nodes: one that cannot be read or used must
+ * name no replica, and end neither a request nor a task, while the other entries hold and following goes on.
+ */
+import bunyan from 'bunyan';
+import { expect } from 'chai';
+import InstanceFeed from '@rhubarbcroft/platform/InstanceFeed';
+import InstanceRegistry from 'rhubarbcroft/instances/InstanceRegistry';
+import type Instance from 'rhubarbcroft/instances/Instance';
+import CurrentRouting from 'rhubarbcroft/routes/CurrentRouting';
+import PlatformClient from 'rhubarbcroft/store/PlatformClient';
+import PlatformFixture from '../platform/standins/PlatformFixture.js';
+import ReplicaStandin from '../platform/standins/ReplicaStandin.js';
+import StoreStandin from '../platform/standins/StoreStandin.js';
+import ManualClock from '../support/ManualClock.js';
+import sleep from '../support/sleep.js';
+
+const log = bunyan.createLogger({ name: 'test', streams: [] });
+const ENTRY = {
+  service: 's',
+  address: '10.0.0.9:8080',
+  zone: 'a',
+  version: 'v1',
+  slots: 8,
+  state: 'ready',
+  coldRemainingMs: 0.5,
+  sequence: 4,
+  born: 1_700_000_000_000,
+};
+const NESTED = `${'['.repeat(100_000)}${']'.repeat(100_000)}`;
+const ODD_VALUES = {
+  address: [
+    '"10.0.0.9:99999"',
+    '"10.0.0.9:0"',
+    '"999.0.0.9:80"',
+    '"10.0.0.09:80"',
+    '"10.0.0.9"',
+    '7',
+  ],
+  slots: ['1e400', '1e300', '9007199254740992', '-1', '0', '1.5', '"8"', 'null', NESTED],
+  coldRemainingMs: ['1e400', '1e300', '"0"', NESTED],
+  sequence: ['1e400', '1e300', '-1', '0.5', 'true', NESTED],
+  born: ['1e400', '1e300', '-1', '0.5', '"0"', NESTED],
+  service: ['7', 'null', NESTED],
+  zone: ['7', 'null', NESTED],
+  state: ['"resting"', NESTED],
+  stage: ['"idle"', 'null', NESTED],
+};
+const ODD_TEXTS = ['', 'oops', 'null', '7', '"s"', '[]', '{}', NESTED, `{"a":${NESTED}`];
+
+function createRegistry(): InstanceRegistry {
+  const routing = new CurrentRouting();
+  return new InstanceRegistry({ routing, clock: new ManualClock(), log, connectTimeoutMs: 100 });
+}
+
+function listIds(registry: InstanceRegistry): readonly string[] {
+  return registry.listAvailable('s').map(({ instance }) => instance.id);
+}
+
+describe('an odd entry', () => {
+  it('names no replica to use, and the other entries hold', async () => {
+    const store = new StoreStandin();
+    await store.start();
+    store.put('servers', 'first', ENTRY);
+    ODD_TEXTS.forEach((text, index) => store.put('servers', `text ${index}`, text));
+    Object.entries(ODD_VALUES).forEach(([field, values]) =>
+      values.forEach((value, index) => {
+        const text = JSON.stringify({ ...ENTRY, [field]: '?' }).replace('"?"', () => value);
+        store.put('servers', `${field}-${index}`, text);
+      }),
+    );
+    ['line\nbreak', 'ünicode', 'x'.repeat(200)].forEach((id) => store.put('servers', id, ENTRY));
+    store.put('servers', 'last', ENTRY);
+    const client = new PlatformClient(store.url, 1_000);
+    const page = await new InstanceFeed(client, log).list(AbortSignal.timeout(1_000));
+    await client.close();
+    await store.stop();
+    const registry = createRegistry();
+    if (page.isOk) {
+      registry.replaceAll(page.value);
+    }
+    expect(listIds(registry)).to.deep.equal(['first', 'last']);
+  });
+
+  it('from a peer names no replica, and replaces the entry that it had before', () => {
+    const sound: Instance = {
+      id: 'a',
+      service: 's',
+      address: '10.0.0.9:8080',
+      domain: 'a',
+      slots: 8,
+      isLeaving: false,
+      stage: undefined,
+      coldRemainingMs: 0,
+      startedAtMs: 1_000,
+      sequence: 1,
+    };
+    const registry = createRegistry();
+    const apply = (version: number, ...values: readonly unknown[]): readonly string[] => {
+      const rows = values.map((value, index) => ({ key: 'ab'[index], version, value }));
+      registry.applyPeerPage({ version, rows: rows as never }, true);
+      return listIds(registry);
+    };
+    expect([
+      apply(1, sound, { ...sound, id: 'b', address: '10.0.0.9:99999' }),
+      apply(2, sound, { ...sound, id: 'c' }),
+      apply(3, sound, { id: 'b', service: 's' }),
+      apply(4, { ...sound, slots: '8' }, { ...sound, id: 'b' }),
+    ]).to.deep.equal([['a'], ['a'], ['a'], ['b']]);
+  });
+
+  it('with a port out of range fails no request and no task of a node, which follows the list further', async () => {
+    const platform = new PlatformFixture();
+    const odd = { ...ENTRY, address: '127.0.0.1:99999' };
+    platform.store.put('servers', 'odd-1', { ...odd, service: 'ledger' });
+    platform.store.put('servers', 'odd-2', { ...odd, service: 'model', stage: 'decode' });
+    await platform.start();
+    platform.decoders.forEach((decoder) =>
+      Object.assign(decoder, { behaviour: ReplicaStandin.stream(2) }),
+    );
+    const statuses = new Set<number>();
+    for (let count = 0; count < 8; count += 1) {
+      statuses.add((await platform.call('/read/1')).status);
+      statuses.add((await platform.call('/book/1', { body: 'b' })).status);
+      statuses.add((await platform.generate('/audit/1', 900)).status);
+    }
+    platform.store.remove('servers', 'ledger-1');
+    await sleep(1_500);
+    await platform.reset();
+    statuses.add((await platform.call('/read/1')).status);
+    const arrivals = platform.ledgers.map((ledger) => ledger.arrivals.length);
+    await platform.stop();
+    const errors = platform.gateway.lines.filter(({ level }) => Number(level) >= bunyan.ERROR);
+    expect({
+      statuses: [...statuses],
+      arrivals,
+      errors: errors.map(({ msg }) => msg),
+    }).to.deep.equal({
+      statuses: [200],
+      arrivals: [0, 1],
+      errors: [],
+    });
+  });
+});
