--- a/test/discovery/oddEntries.test.ts
+++ b/test/discovery/oddEntries.test.ts
@@ -2,8 +2,13 @@
  * Guards against entries of another writer among those of the replicas and nodes: one that cannot be read or used must
  * name no replica, and end neither a request nor a task, while the other entries hold and following goes on.
  */
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import bunyan from 'bunyan';
 import { expect } from 'chai';
+import type Result from 'true-myth/result';
 import InstanceFeed from '@rhubarbcroft/platform/InstanceFeed';
 import InstanceRegistry from 'rhubarbcroft/instances/InstanceRegistry';
 import type Instance from 'rhubarbcroft/instances/Instance';
@@ -142,3 +147,52 @@
     });
   });
 });
+
+describe('a page of the store', () => {
+  /** Serves the bodies in turn, the last one for all further calls. */
+  async function serve(...bodies: readonly string[]): Promise<{ server: Server; url: string }> {
+    const rest = [...bodies];
+    const server = createServer((_request, response) => {
+      response.end(rest.length > 1 ? rest.shift() : rest[0]);
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    return { server, url: `http://127.0.0.1:${(server.address() as AddressInfo).port}` };
+  }
+
+  async function read(...bodies: readonly string[]): Promise<unknown> {
+    const { server, url } = await serve(...bodies);
+    const client = new PlatformClient(url, 1_000);
+    const feed = new InstanceFeed(client, log);
+    const signal = AbortSignal.timeout(1_000);
+    const settle = async (call: Promise<Result<unknown, unknown>>): Promise<string> =>
+      call.then(
+        (result) => (result.isOk ? JSON.stringify(result.value) : 'failed'),
+        () => 'thrown',
+      );
+    const outcome = {
+      list: await settle(feed.list(signal)),
+      changes: await settle(feed.waitForChanges(1, signal)),
+    };
+    await client.close();
+    server.close();
+    return outcome;
+  }
+
+  it('that is malformed fails the call and not the task that makes it', async () => {
+    const bodies = [
+      '',
+      'oops',
+      'null',
+      '7',
+      '{}',
+      NESTED,
+      '{"rows":7,"ver":1}',
+      '{"rows":[],"ver":"1"}',
+    ];
+    const rows = ['null', '7', '{"ver":1}', '{"key":7,"ver":1}'];
+    const all = [...bodies, ...rows.map((row) => `{"rows":[${row}],"ver":1}`)];
+    const outcomes = await Promise.all(all.map((body) => read(body)));
+    expect(outcomes).to.deep.equal(all.map(() => ({ list: 'failed', changes: 'failed' })));
+  });
+});
