--- a/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
+++ b/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
@@ -5,6 +5,7 @@
  */
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
+import EventSequence from './EventSequence.js';
 import EventSplitter from './EventSplitter.js';
 import copyAnswerHeaders from './copyAnswerHeaders.js';
 
@@ -26,6 +27,8 @@
 
   readonly #splitter = new EventSplitter();
 
+  readonly #sequence = new EventSequence();
+
   #eventBytes = 0;
 
   constructor(response: ServerResponse) {
@@ -42,9 +45,9 @@
     return this.#eventBytes > 0;
   }
 
-  /** The id of the last complete event; undefined when no event had an id. */
+  /** The id of the last relayed event; undefined when no event had an id. */
   get lastEventId(): string | undefined {
-    return this.#splitter.lastEventId;
+    return this.#sequence.lastId;
   }
 
   /** Sends the head of the first answer; the heads of later attempts are ignored. */
@@ -55,12 +58,17 @@
     }
   }
 
-  /** Relays a body and reports its progress. Throws when the body is truncated or an event is too large. */
+  /**
+   * Relays a body and reports its progress. Throws when the body is truncated, an event is too large, or the events do
+   * not continue those of earlier attempts.
+   */
   async relay(body: AsyncIterable<Buffer>, progress: RelayProgress): Promise<void> {
     this.#splitter.discardPartialEvent();
+    this.#sequence.beginAttempt();
     for await (const chunk of body) {
       const countBefore = this.#splitter.dataEvents;
       const events = this.#splitter.push(chunk);
+      this.#sequence.add(events);
       if (events.length > 0 && this.#response.writable) {
         this.#eventBytes += events.length;
         if (!this.#response.write(events)) {
@@ -76,6 +84,9 @@
     if (!this.#splitter.isAtEventBoundary) {
       throw new Error('the stream ended in the middle of an event');
     }
+    if (this.#sequence.awaitsEvent) {
+      throw new Error('the resumed stream ended without an event');
+    }
   }
 
   /** Waits until the caller has read what was written, or has closed the connection. */
--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -1,8 +1,8 @@
 /**
  * One HTTP connection to an endpoint. It is never reopened, so a request that failed before the connection was
- * established was certainly not sent. A body without a framing header ends with its connection and cannot be
- * distinguished from a truncated one, because an endpoint that stops in the middle may close the connection cleanly too;
- * such a body is an error. So is an answer whose bytes outside its body do not end.
+ * established was certainly not sent. A body without a framing header ends with its connection: it is complete if the
+ * endpoint closed the connection in order, and an error if the connection was reset. An answer whose bytes outside its
+ * body do not end is an error too.
  */
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
@@ -22,12 +22,32 @@
 const MAX_OVERHEAD_BYTES = 1_048_576;
 /** A chunk of one byte has five bytes of framing; endpoints may add short extensions. */
 const MAX_OVERHEAD_PER_BODY_BYTE = 16;
-const FRAMING_HEADERS = new Set(['content-length', 'transfer-encoding']);
+/** Unread bytes of a body beyond which its connection is closed, as large as the largest buffered answer. */
+const MAX_UNREAD_BYTES = 2_097_152;
+/**
+ * Unread bytes at which the client pauses its parser, above what the limit lets accumulate: it throws outside the
+ * request, and so ends the process, if the connection ends while its parser is paused.
+ */
+const PAUSE_BYTES = 2 * MAX_UNREAD_BYTES;
+const FIRST_REDIRECT = 300;
+
+function listHeaderValues(rawHeaders: readonly string[], name: string): readonly string[] {
+  return rawHeaders.filter(
+    (_value, index) => index % 2 === 1 && rawHeaders[index - 1].toLowerCase() === name,
+  );
+}
+
+/** A transfer coding that changes the body or leaves its end open; callers request none. */
+function findForeignCoding(rawHeaders: readonly string[]): string | undefined {
+  return listHeaderValues(rawHeaders, 'transfer-encoding').find(
+    (value) => value.trim().toLowerCase() !== 'chunked',
+  );
+}
 
 /** Whether a header marks the end of the body; otherwise the body ends with the connection. */
 function isFramed(rawHeaders: readonly string[]): boolean {
-  return rawHeaders.some(
-    (name, index) => index % 2 === 0 && FRAMING_HEADERS.has(name.toLowerCase()),
+  return ['content-length', 'transfer-encoding'].some(
+    (name) => listHeaderValues(rawHeaders, name).length > 0,
   );
 }
 
@@ -40,6 +60,9 @@
 
   #isClosed = false;
 
+  /** Whether the endpoint has closed its side in order; not set when the connection fails. */
+  #hasEnded = false;
+
   #answerCount = 0;
 
   /** Bytes read on the connection before the current answer. */
@@ -48,6 +71,9 @@
   /** Bytes of the current answer's body that were returned. */
   #bodyBytes = 0;
 
+  /** The current answer's body. */
+  #body: Dispatcher.ResponseData['body'] | undefined;
+
   constructor(address: string, connectTimeoutMs: number) {
     this.#client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -86,12 +112,22 @@
         body: call.body === undefined || call.body.length === 0 ? null : call.body,
         signal,
         responseHeaders: 'raw',
+        highWaterMark: PAUSE_BYTES,
       });
+      this.#body = response.body;
       const rawHeaders = response.headers as unknown as readonly string[];
-      const body = this.#readBody(response.body, isFramed(rawHeaders));
+      const coding = findForeignCoding(rawHeaders);
+      if (coding !== undefined) {
+        this.close();
+        return err({ kind: 'broken', detail: `the answer has the transfer coding "${coding}"` });
+      }
+      const status = response.statusCode;
+      const body = isFramed(rawHeaders)
+        ? this.#readBody(response.body)
+        : this.#readUnframedBody(response.body, status);
       const isFirst = this.#answerCount === 0;
       this.#answerCount += 1;
-      return ok({ status: response.statusCode, rawHeaders, body, isFirst });
+      return ok({ status, rawHeaders, body, isFirst });
     } catch (error) {
       const detail = (error as Error).message;
       return err({ kind: this.#socket === undefined ? 'unsent' : 'broken', detail });
@@ -103,29 +139,48 @@
     void this.#client.destroy();
   }
 
-  async *#readBody(
-    body: Dispatcher.ResponseData['body'],
-    isBodyFramed: boolean,
-  ): AsyncGenerator<Buffer, void, undefined> {
+  async *#readBody(body: Dispatcher.ResponseData['body']): AsyncGenerator<Buffer, void, undefined> {
     for await (const chunk of body) {
       this.#bodyBytes += (chunk as Buffer).length;
       yield chunk as Buffer;
     }
-    if (!isBodyFramed) {
-      throw new Error(
-        'the connection closed during an answer without content-length or transfer-encoding, which may be truncated',
-      );
+  }
+
+  /**
+   * Reads a body that ends with its connection. The client completes it on a reset too. A success without a body is an
+   * error, because an endpoint that stops after its head leaves the same bytes.
+   */
+  async *#readUnframedBody(
+    body: Dispatcher.ResponseData['body'],
+    status: number,
+  ): AsyncGenerator<Buffer, void, undefined> {
+    yield* this.#readBody(body);
+    this.close();
+    if (!this.#hasEnded) {
+      throw new Error('the connection failed during an answer that ends with its connection');
+    }
+    if (this.#bodyBytes === 0 && status < FIRST_REDIRECT) {
+      throw new Error('the connection closed after the head of an answer without a length');
     }
   }
 
   #startByteCount(): void {
     this.#bytesBefore = this.#socket?.bytesRead ?? 0;
     this.#bodyBytes = 0;
+    this.#body = undefined;
   }
 
-  /** Ends a connection on which the bytes that carry no body do not end: heads, interim answers, chunk extensions. */
+  /**
+   * Ends a connection on which the bytes that carry no body do not end (heads, interim answers, chunk extensions), or
+   * whose reader is too far behind.
+   */
   #checkOverhead(socket: Socket): void {
-    const overheadBytes = socket.bytesRead - this.#bytesBefore - this.#bodyBytes;
+    const unreadBytes = this.#body?.readableLength ?? 0;
+    if (unreadBytes > MAX_UNREAD_BYTES) {
+      socket.destroy(new Error(`${unreadBytes} bytes of the answer are unread`));
+      return;
+    }
+    const overheadBytes = socket.bytesRead - this.#bytesBefore - this.#bodyBytes - unreadBytes;
     if (overheadBytes > MAX_OVERHEAD_BYTES + this.#bodyBytes * MAX_OVERHEAD_PER_BODY_BYTE) {
       socket.destroy(new Error(`${overheadBytes} bytes of the answer carry no body`));
     }
@@ -155,6 +210,9 @@
       socket.once('close', () => {
         this.#isClosed = true;
       });
+      socket.once('end', () => {
+        this.#hasEnded = true;
+      });
       this.#socket = socket;
       // Before the client's own listener, which parses what was read.
       socket.on('readable', () => this.#checkOverhead(socket));
--- a/test/forwarding/connection.test.ts
+++ b/test/forwarding/connection.test.ts
@@ -24,6 +24,10 @@
   }
 }
 
+function fail(failure: unknown): never {
+  throw new Error(JSON.stringify(failure));
+}
+
 describe('EndpointConnection', () => {
   const servers: Server[] = [];
 
@@ -70,6 +74,23 @@
         socket.write('HTTP/1.1 200 OK\r\n\r\nopen');
         setTimeout(() => socket.resetAndDestroy(), 20);
       }),
+      'without a length, HTTP/1.0, reset': await exchange((socket) => {
+        socket.write('HTTP/1.0 200 OK\r\nconnection: keep-alive\r\n\r\nopen');
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      }),
+      'without a length or a body, closed in order': await exchange((socket) =>
+        socket.end('HTTP/1.1 200 OK\r\n\r\n'),
+      ),
+      'a failure without a length or a body, closed in order': await exchange((socket) =>
+        socket.end('HTTP/1.1 500 Failed\r\n\r\n'),
+      ),
+      'a transfer coding without chunks, closed in order': await exchange((socket) =>
+        socket.end('HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nopen'),
+      ),
+      'a transfer coding without chunks, reset': await exchange((socket) => {
+        socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nopen');
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      }),
       'chunks that do not end': await exchange((socket) =>
         socket.end('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nopen\r\n'),
       ),
@@ -79,6 +100,56 @@
     expect(outcomes).toMatchSnapshot();
   });
 
+  it('reports an answer that is cut anywhere before its end, in order or by a reset', async () => {
+    const head = '200 OK\r\nx-response-seal: s\r\nconnection: close\r\n';
+    const sized = `${head}content-length: 5\r\n\r\nwhole`;
+    const chunked = `${head}transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`;
+    const answers = {
+      'with a length': `HTTP/1.1 ${sized}`,
+      'with a length, HTTP/1.0': `HTTP/1.0 ${sized}`,
+      'in chunks': `HTTP/1.1 ${chunked}`,
+      'after an interim answer': `HTTP/1.1 103 Hints\r\nlink: l\r\n\r\nHTTP/1.1 ${sized}`,
+      'after an unexpected 100': `HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 ${sized}`,
+    };
+    const cutAt = async (answer: string, end: number, isReset: boolean): Promise<string> => {
+      const outcome = await exchange((socket) => {
+        socket.write(answer.slice(0, end));
+        setTimeout(() => (isReset ? socket.resetAndDestroy() : socket.end()), 20);
+      });
+      return (outcome as readonly unknown[]).join(', ');
+    };
+    const outcomes = await Promise.all(
+      Object.entries(answers).map(async ([name, answer]) => {
+        const cuts = Array.from({ length: answer.length }, (_unused, end) => end);
+        const seen = await Promise.all(
+          cuts.flatMap((end) => [cutAt(answer, end, false), cutAt(answer, end, true)]),
+        );
+        return [name, [...new Set(seen)].sort()];
+      }),
+    );
+    expect(Object.fromEntries(outcomes)).toMatchSnapshot();
+  });
+
+  it('ends the answer and not the process when it breaks off while its reader is slow', async () => {
+    const start = 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 999999\r\n\r\n';
+    const breakOff = async (finish: (socket: Socket) => void): Promise<unknown> => {
+      const address = await serve((socket) => {
+        socket.write(`${start}${'x'.repeat(70_000)}`);
+        setTimeout(() => finish(socket), 20);
+      });
+      const connection = new EndpointConnection(address, 500);
+      const { body } = (await connection.send(CALL, AbortSignal.timeout(1_000))).unwrapOrElse(fail);
+      await sleep(100);
+      const startedAtMs = performance.now();
+      const isCut = (await readAll(body)).endsWith('(cut)');
+      connection.close();
+      return { isCut, isPrompt: performance.now() - startedAtMs < 500 };
+    };
+    const expected = { isCut: true, isPrompt: true };
+    expect(await breakOff((socket) => socket.end())).to.deep.equal(expected);
+    expect(await breakOff((socket) => socket.resetAndDestroy())).to.deep.equal(expected);
+  });
+
   it('reports a request as unsent when no connection could be made', async () => {
     const address = await serve(() => undefined);
     servers.forEach((server) => server.close());
