Accept fields of their own in the events of endpoints

What callers would have seen: a cut stream whenever an event carried a field that event streams don't define. The platform states one such field, the version of the weights as the first line of the event at which it changes.

Cause: the check that a stream holds no other answer's bytes knew the defined fields only.

Change: an event may carry any field beside a defined one; a line that is no field, or an event without any defined field, is refused as before.

Evidence: the new case of test/forwarding/brokenStreams is cut at its first event without the change, and complete with it; all other cases are as before.

--- a/packages/rhubarbcroft/src/forwarding/EventSequence.ts
+++ b/packages/rhubarbcroft/src/forwarding/EventSequence.ts
@@ -1,9 +1,11 @@
 /**
- * Checks that the complete events of one request's attempts form a single stream. Each line must be a field of an event
- * stream or a comment, so that another answer's head or text in a body is detected. Ids must not decrease, and a resumed
+ * Checks that the complete events of one request's attempts form a single stream. Each line must be a field or a comment,
+ * and a field that event streams don't define must stand beside one that they do, so that another answer's head or text
+ * in a body is detected. Ids must not decrease, and a resumed
  * stream must go on with an event after the last one. Ids only have to increase, so a missing event is not detected.
  */
-const FIELD_LINE = /^(?:data|event|id|retry)?(?::|$)/;
+const FIELD_LINE = /^[\w-]*(?::|$)/;
+const DEFINED_FIELD_LINE = /^(?:data|event|id|retry)?(?::|$)/;
 const ID_LINE = /^id: ?(.*)$/m;
 const DATA_LINE = /^data(?::|$)/m;
 
@@ -48,7 +50,9 @@
       .replaceAll('\r\n', '\n')
       .split('\n\n')
       .forEach((event) => {
-        if (event.split('\n').some((line) => !FIELD_LINE.test(line))) {
+        const lines = event.split('\n');
+        const areFields = lines.every((line) => FIELD_LINE.test(line));
+        if (!areFields || !lines.some((line) => DEFINED_FIELD_LINE.test(line))) {
           throw new Error('the stream contains a line that is no field of an event');
         }
         const id = ID_LINE.exec(event)?.[1];
--- a/test/forwarding/brokenStreams.test.ts
+++ b/test/forwarding/brokenStreams.test.ts
@@ -118,6 +118,9 @@
     const text = '\r\nerror: oops\n\n';
     const answers = {
       'the next events': createStream(createEvents(3, 4)),
+      'the next events with a field of their own': createStream(
+        createEvents(3, 4).replaceAll('id:', 'x-weights: 7\nid:'),
+      ),
       'a failure': createHead(error, '500 Oops') + text,
       'an unsigned failure': OOPS,
       'a refusal': createHead(declined, '503 Full') + text,
