--- a/test/discovery/oddEntries.test.ts
+++ b/test/discovery/oddEntries.test.ts
@@ -10,6 +10,7 @@
 import { expect } from 'chai';
 import type Result from 'true-myth/result';
 import InstanceFeed from '@rhubarbcroft/platform/InstanceFeed';
+import StoreNodeList from '@rhubarbcroft/platform/StoreNodeList';
 import InstanceRegistry from 'rhubarbcroft/instances/InstanceRegistry';
 import type Instance from 'rhubarbcroft/instances/Instance';
 import CurrentRouting from 'rhubarbcroft/routes/CurrentRouting';
@@ -173,6 +174,7 @@
     const outcome = {
       list: await settle(feed.list(signal)),
       changes: await settle(feed.waitForChanges(1, signal)),
+      nodes: await settle(new StoreNodeList(client).read()),
     };
     await client.close();
     server.close();
@@ -193,6 +195,23 @@
     const rows = ['null', '7', '{"ver":1}', '{"key":7,"ver":1}'];
     const all = [...bodies, ...rows.map((row) => `{"rows":[${row}],"ver":1}`)];
     const outcomes = await Promise.all(all.map((body) => read(body)));
-    expect(outcomes).to.deep.equal(all.map(() => ({ list: 'failed', changes: 'failed' })));
+    expect(outcomes).to.deep.equal(
+      all.map(() => ({ list: 'failed', changes: 'failed', nodes: 'failed' })),
+    );
+  });
+
+  it('of the node list may be followed by others, and may hold rows of another writer', async () => {
+    const { server, url } = await serve(
+      '{"rows":[{"key":"10.0.0.1:7380","value":"YQ==","ver":1}],"ver":3,"morePages":true}',
+      '{"rows":[{"key":"x","ver":2},{"key":"y","value":7,"ver":3},{"key":"10.0.0.2:7380","value":"Yg=="}],"ver":3}',
+    );
+    const client = new PlatformClient(url, 1_000);
+    const nodes = await new StoreNodeList(client).read();
+    await client.close();
+    server.close();
+    expect(nodes.unwrapOr([])).to.deep.equal([
+      { address: '10.0.0.1:7380', domain: 'a' },
+      { address: '10.0.0.2:7380', domain: 'b' },
+    ]);
   });
 });
