Ignore addresses of peers to which no connection can be made

What callers saw: a node that ends by itself, with all of its requests, some seconds after it learned such an address.

Cause: `connect` throws for an address without a port, or with a port out of range. Each peer's address was taken over from the node list of the store, from settings and from other nodes, which pass it on, so the tasks that poll peers, follow a leader or send notices failed until the restart budgets of their supervisor and of the root were spent.

Evidence: a node that was given such addresses ended after some seconds with "root: restart budget exhausted by failures of peers"; it goes on asking its other peers now.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -257,6 +257,13 @@
     to: 'if (fault === null) {',
     test: 'names no replica to use, and the other entries hold',
   },
+  {
+    mechanism: 'addresses of peers to which a connection can be made',
+    file: 'gossip/GossipState.ts',
+    from: 'addresses.filter(isAddress).forEach(',
+    to: 'addresses.forEach(',
+    test: 'ends no task of a node, which goes on asking its peers',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/gossip/GossipState.ts
+++ b/packages/rhubarbcroft/src/gossip/GossipState.ts
@@ -4,6 +4,7 @@
  */
 import type FeedPage from '../discovery/FeedPage.js';
 import type Instance from '../instances/Instance.js';
+import isAddress from '../instances/isAddress.js';
 import type InstanceRegistry from '../instances/InstanceRegistry.js';
 import type CurrentRouting from '../routes/CurrentRouting.js';
 import type Clock from '../supervision/Clock.js';
@@ -76,9 +77,9 @@
     return [...this.#nodes];
   }
 
-  /** Adds addresses of peers; the own address is ignored. */
+  /** Adds addresses of peers; the own address, and those to which no connection can be made, are ignored. */
   addNodes(addresses: readonly string[]): void {
-    addresses.forEach((address) => {
+    addresses.filter(isAddress).forEach((address) => {
       if (address !== this.#options.address) {
         this.#nodes.delete(address);
         this.#nodes.add(address);
@@ -101,7 +102,7 @@
   addListedNodes(nodes: readonly ListedNode[]): void {
     this.addNodes(nodes.map(({ address }) => address));
     this.#neighbours = nodes
-      .filter(({ domain }) => domain === this.#options.domain)
+      .filter(({ address, domain }) => isAddress(address) && domain === this.#options.domain)
       .map(({ address }) => address);
   }
 
--- a/test/discovery/oddEntries.test.ts
+++ b/test/discovery/oddEntries.test.ts
@@ -5,6 +5,7 @@
 import { once } from 'node:events';
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
+import { createServer as createPeer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import bunyan from 'bunyan';
 import { expect } from 'chai';
@@ -15,9 +16,11 @@
 import type Instance from 'rhubarbcroft/instances/Instance';
 import CurrentRouting from 'rhubarbcroft/routes/CurrentRouting';
 import PlatformClient from 'rhubarbcroft/store/PlatformClient';
+import createGossipCodec from 'rhubarbcroft/gossip/createGossipCodec';
 import PlatformFixture from '../platform/standins/PlatformFixture.js';
 import ReplicaStandin from '../platform/standins/ReplicaStandin.js';
 import StoreStandin from '../platform/standins/StoreStandin.js';
+import startGateway from '../platform/standins/startGateway.js';
 import ManualClock from '../support/ManualClock.js';
 import sleep from '../support/sleep.js';
 
@@ -215,3 +218,38 @@
     ]);
   });
 });
+
+describe('an odd address or message of a peer', () => {
+  it('ends no task of a node, which goes on asking its peers', async () => {
+    const tells = [{ nodes: ['10.0.0.9:99999', '10.0.0.9', 7, null] }];
+    const codec = createGossipCodec();
+    let asked = 0;
+    const peer = createPeer((socket) => {
+      socket.on('error', () => undefined);
+      socket.on('data', () => {
+        asked += 1;
+        const knowledge = tells[asked % tells.length];
+        socket.end(codec.encode({ type: 'tell', knowledge } as never));
+      });
+    });
+    peer.listen(0, '127.0.0.1');
+    await once(peer, 'listening');
+    const address = `127.0.0.1:${(peer.address() as AddressInfo).port}`;
+    const seedPeers = ['127.0.0.1:99999', '10.0.0.9', address];
+    const node = await startGateway({ storeUrl: 'http://127.0.0.1:1', seedPeers }, false);
+    await sleep(5_000);
+    await node.stop();
+    peer.close();
+    const errors = node.lines.filter(({ level }) => Number(level) >= bunyan.ERROR);
+    expect(errors.map(({ msg, err }) => [msg, String(err)])).to.deep.equal([]);
+    expect(asked).to.be.greaterThan(tells.length);
+  });
+
+  it('that is deeply nested is a malformed frame', () => {
+    const body = Buffer.alloc(1_000_000, 0x81);
+    const length = Buffer.alloc(4);
+    length.writeUInt32BE(body.length);
+    const messages = createGossipCodec().decode(Buffer.concat([length, body]));
+    expect(messages.isErr && messages.error.code).to.equal('FRAME_MALFORMED');
+  });
+});
