--- a/test/discovery/oddEntries.test.ts
+++ b/test/discovery/oddEntries.test.ts
@@ -5,18 +5,22 @@
 import { once } from 'node:events';
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
+import { createServer as createPeer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import bunyan from 'bunyan';
 import { expect } from 'chai';
 import type Result from 'true-myth/result';
 import InstanceFeed from '@rhubarbcroft/platform/InstanceFeed';
+import StoreNodeList from '@rhubarbcroft/platform/StoreNodeList';
 import InstanceRegistry from 'rhubarbcroft/instances/InstanceRegistry';
 import type Instance from 'rhubarbcroft/instances/Instance';
 import CurrentRouting from 'rhubarbcroft/routes/CurrentRouting';
 import PlatformClient from 'rhubarbcroft/store/PlatformClient';
+import createGossipCodec from 'rhubarbcroft/gossip/createGossipCodec';
 import PlatformFixture from '../platform/standins/PlatformFixture.js';
 import ReplicaStandin from '../platform/standins/ReplicaStandin.js';
 import StoreStandin from '../platform/standins/StoreStandin.js';
+import startGateway from '../platform/standins/startGateway.js';
 import ManualClock from '../support/ManualClock.js';
 import sleep from '../support/sleep.js';
 
@@ -173,6 +177,7 @@
     const outcome = {
       list: await settle(feed.list(signal)),
       changes: await settle(feed.waitForChanges(1, signal)),
+      nodes: await settle(new StoreNodeList(client).read()),
     };
     await client.close();
     server.close();
@@ -193,6 +198,58 @@
     const rows = ['null', '7', '{"ver":1}', '{"key":7,"ver":1}'];
     const all = [...bodies, ...rows.map((row) => `{"rows":[${row}],"ver":1}`)];
     const outcomes = await Promise.all(all.map((body) => read(body)));
-    expect(outcomes).to.deep.equal(all.map(() => ({ list: 'failed', changes: 'failed' })));
+    expect(outcomes).to.deep.equal(
+      all.map(() => ({ list: 'failed', changes: 'failed', nodes: 'failed' })),
+    );
+  });
+
+  it('of the node list may be followed by others, and may hold rows of another writer', async () => {
+    const { server, url } = await serve(
+      '{"rows":[{"key":"10.0.0.1:7380","value":"YQ==","ver":1}],"ver":3,"morePages":true}',
+      '{"rows":[{"key":"x","ver":2},{"key":"y","value":7,"ver":3},{"key":"10.0.0.2:7380","value":"Yg=="}],"ver":3}',
+    );
+    const client = new PlatformClient(url, 1_000);
+    const nodes = await new StoreNodeList(client).read();
+    await client.close();
+    server.close();
+    expect(nodes.unwrapOr([])).to.deep.equal([
+      { address: '10.0.0.1:7380', domain: 'a' },
+      { address: '10.0.0.2:7380', domain: 'b' },
+    ]);
+  });
+});
+
+describe('an odd address or message of a peer', () => {
+  it('ends no task of a node, which goes on asking its peers', async () => {
+    const tells = [{ nodes: ['10.0.0.9:99999', '10.0.0.9', 7, null] }];
+    const codec = createGossipCodec();
+    let asked = 0;
+    const peer = createPeer((socket) => {
+      socket.on('error', () => undefined);
+      socket.on('data', () => {
+        asked += 1;
+        const knowledge = tells[asked % tells.length];
+        socket.end(codec.encode({ type: 'tell', knowledge } as never));
+      });
+    });
+    peer.listen(0, '127.0.0.1');
+    await once(peer, 'listening');
+    const address = `127.0.0.1:${(peer.address() as AddressInfo).port}`;
+    const seedPeers = ['127.0.0.1:99999', '10.0.0.9', address];
+    const node = await startGateway({ storeUrl: 'http://127.0.0.1:1', seedPeers }, false);
+    await sleep(5_000);
+    await node.stop();
+    peer.close();
+    const errors = node.lines.filter(({ level }) => Number(level) >= bunyan.ERROR);
+    expect(errors.map(({ msg, err }) => [msg, String(err)])).to.deep.equal([]);
+    expect(asked).to.be.greaterThan(tells.length);
+  });
+
+  it('that is deeply nested is a malformed frame', () => {
+    const body = Buffer.alloc(1_000_000, 0x81);
+    const length = Buffer.alloc(4);
+    length.writeUInt32BE(body.length);
+    const messages = createGossipCodec().decode(Buffer.concat([length, body]));
+    expect(messages.isErr && messages.error.code).to.equal('FRAME_MALFORMED');
   });
 });
