Read what has arrived before a head is refused as too slow, with 408

Callers saw: 400 for a proper request whose head had arrived within the header limit, or a little late; they do not repeat a request after a 400. A replica ran the request nevertheless. A new connection without a request got a 400 that nobody had asked for.

Cause: the HTTP server checks heads in a timer, which runs before sockets are read, so that a process that was blocked for longer than the limit found heads too slow whose rest the kernel already held. The refusal ended the socket, but the parser read on and handed over the request, which was then forwarded. The refusal used the code for malformed input.

Change: the connection's task lets the event loop read first, and serves the request if its head is complete. Otherwise it refuses it with the new code HEADER_TOO_SLOW, status 408 (not run, may be repeated), and ignores what arrives later. A connection that has received nothing is closed without bytes.

Evidence: on the code before, the blocked process answered 400, its line said forwarded and answerBegun, and the server had served the request. A slow head got 400.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -208,6 +208,13 @@
     to: 'if (this.#requestCount > 0) {',
     test: 'is answered or refused as a whole',
   },
+  {
+    mechanism: 'reading what has arrived before a slow head is refused',
+    file: 'callers/HttpConnection.ts',
+    from: "if (this.#rejection?.reason === 'header_timeout') {",
+    to: 'if (this.#requestCount < 0) {',
+    test: 'is answered or refused as a whole',
+  },
 ];
 
 export default removals;
--- a/packages/protocol/src/results/RESULT_CODES.ts
+++ b/packages/protocol/src/results/RESULT_CODES.ts
@@ -17,6 +17,7 @@
   HEADER_TOO_LARGE: { number: 1007, httpStatus: 431, exitCode: 2, text: 'a request header exceeds the size limit', mend: 'shorten the header' },
   BODY_TOO_SLOW: { number: 1008, httpStatus: 408, exitCode: 2, text: 'the request body did not arrive in time', mend: 'send the whole body within callers.bodyTimeoutMs' },
   NOT_FOUND: { number: 1009, httpStatus: 404, exitCode: 2, text: 'no such path or resource', mend: 'check the name; docs/API.md lists the paths' },
+  HEADER_TOO_SLOW: { number: 1010, httpStatus: 408, exitCode: 2, text: 'the request head did not arrive in time', mend: 'send the whole head within the header time limit' },
   UNAUTHENTICATED: { number: 1101, httpStatus: 401, exitCode: 4, text: 'the token is missing or not valid', mend: 'send Authorization: Bearer with a token of a known account' },
   FORBIDDEN: { number: 1102, httpStatus: 403, exitCode: 4, text: 'the account lacks the required scope', mend: 'ask an administrator for the scope' },
   ACCOUNT_LIMIT: { number: 1201, httpStatus: 429, exitCode: 3, text: 'the account exceeded its token rate', mend: 'retry after the time given in retry-after' },
--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -88,6 +88,8 @@
     const receivedId = request.headers['x-request-id'];
     const requestId =
       typeof receivedId === 'string' && REQUEST_ID.test(receivedId) ? receivedId : randomUUID();
+    // A head that was found too slow may have arrived, unread, before its time limit.
+    this.#rejection = undefined;
     const markForwarded = this.#trace.track(request, response, requestId);
     const cut = (cause: string): void => {
       this.noteEnd('answer_cut', cause);
@@ -117,7 +119,9 @@
 
   #refuse(rejection: ParserRejection): void {
     this.noteEnd(rejection.reason, rejection.code);
-    if (this.#socket.writable && !(this.#trace.isReadingBody && this.#trace.hasBegunAnswer)) {
+    const hasNoRequest = rejection.reason === 'header_timeout' && !this.#trace.hasPartialRequest;
+    const isAnswering = this.#trace.isReadingBody && this.#trace.hasBegunAnswer;
+    if (this.#socket.writable && !hasNoRequest && !isAnswering) {
       refuseUnparsed(rejection, this.#socket);
     }
   }
@@ -150,6 +154,9 @@
         isIdleLimitReached = this.#idleLeftMs <= 0;
       }
     }
+    if (this.#rejection?.reason === 'header_timeout') {
+      await waitForEventLoop();
+    }
     if (this.#isWaiting && signal.aborted) {
       await this.#finishReceiving();
     }
--- a/test/listener/arrivedRequests.test.ts
+++ b/test/listener/arrivedRequests.test.ts
@@ -1,4 +1,5 @@
 /** Guards against a limit, an error or an end that takes the answer from a request that has arrived or is being answered. */
+import type { Socket } from 'node:net';
 import { expect } from 'chai';
 import ListenerFixture from './ListenerFixture.js';
 
@@ -9,6 +10,11 @@
 const SHORT_HEADS = { headerTimeoutMs: 700 };
 const WAIT = (): void => undefined;
 
+function sendRestAndBlock(socket: Socket): void {
+  socket.write(REQUEST.slice(9));
+  ListenerFixture.block(2_000);
+}
+
 const CASES: Readonly<Record<string, Steps>> = {
   'a head that times out behind an unfinished answer': [
     [0, SHORT_HEADS],
@@ -21,6 +27,21 @@
     [50, 'HELO shop\r\n\r\n'],
     [600, WAIT],
   ],
+  'a head that is complete when its blocked process finds it too slow': [
+    [0, SHORT_HEADS],
+    [0, REQUEST.slice(0, 9)],
+    [400, sendRestAndBlock],
+    [300, WAIT],
+  ],
+  'a head that is too slow': [
+    [0, SHORT_HEADS],
+    [0, REQUEST.slice(0, 9)],
+    [2_500, WAIT],
+  ],
+  'a new connection without a request': [
+    [0, SHORT_HEADS],
+    [2_500, WAIT],
+  ],
   'a request whose caller half-closes': [
     [0, LONG_REQUEST.replace('2600', '400')],
     [100, (socket) => socket.end()],
