Serve no queued request of a connection that its caller has closed

Callers saw nothing; replicas ran requests of callers that had left: a request queued behind another on one connection was served after the connection had closed. Its own abort signal never fired, since the HTTP server attaches only the response at the head of the queue to the socket.

Change: the task takes no request from the queue of a connection that can no longer carry an answer.

Evidence: on the code before, the server served the second request after the reset; now only the first.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -215,6 +215,13 @@
     to: 'if (this.#requestCount < 0) {',
     test: 'is answered or refused as a whole',
   },
+  {
+    mechanism: 'serving no request of a closed connection',
+    file: 'callers/HttpConnection.ts',
+    from: 'if (!this.#socket.writable) {',
+    to: 'if (this.#requestCount < 0) {',
+    test: 'is answered or refused as a whole',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -163,6 +163,9 @@
     if (this.#isWaiting) {
       this.noteEnd(signal.aborted ? 'stop' : 'idle_limit');
     }
+    if (!this.#socket.writable) {
+      return undefined;
+    }
     const [exchange, ...others] = this.#exchanges;
     this.#exchanges = others;
     return exchange;
--- a/test/listener/arrivedRequests.test.ts
+++ b/test/listener/arrivedRequests.test.ts
@@ -42,6 +42,12 @@
     [0, SHORT_HEADS],
     [2_500, WAIT],
   ],
+  'a request behind one whose caller resets the connection': [
+    [0, LONG_REQUEST.replace('2600', '400')],
+    [0, REQUEST],
+    [100, (socket) => socket.resetAndDestroy()],
+    [600, WAIT],
+  ],
   'a request whose caller half-closes': [
     [0, LONG_REQUEST.replace('2600', '400')],
     [100, (socket) => socket.end()],
