Close the connection of a request whose handling failed

Callers saw: neither an answer nor the end of the connection when an error left the front end: the connection's task ended, and the socket stayed open until the caller gave up.

Change: the task destroys its socket when it fails, with the reason internal_error on the request's line. The supervisor logs the error as before.

Evidence: on the code before, the connection was still open after 300 ms and had no line; now it is closed and has one. Removing the mechanism makes the test fail. 35 listener, removals and docs tests pass.

--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -222,6 +222,13 @@
     to: 'if (this.#requestCount < 0) {',
     test: 'is answered or refused as a whole',
   },
+  {
+    mechanism: 'closing the connection of a failed task',
+    file: 'callers/HttpConnection.ts',
+    from: "this.noteEnd('internal_error', (error as Error).message);\n      this.#socket.destroy();",
+    to: '',
+    test: 'is answered or refused as a whole',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/callers/ConnectionEnd.ts
+++ b/packages/rhubarbcroft/src/callers/ConnectionEnd.ts
@@ -6,6 +6,7 @@
   | 'connection_limit'
   | 'header_timeout'
   | 'idle_limit'
+  | 'internal_error'
   | 'malformed'
   | 'stop';
 
--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -129,12 +129,15 @@
   override async run(signal: AbortSignal): Promise<void> {
     const wake = (): void => this.#wake?.();
     signal.addEventListener('abort', wake, { once: true });
-    let exchange = await this.#receive(signal);
-    while (exchange !== undefined) {
-      await this.#serve(exchange, signal);
-      exchange = await this.#receive(signal);
+    try {
+      await this.#serveAll(signal);
+    } catch (error) {
+      this.noteEnd('internal_error', (error as Error).message);
+      this.#socket.destroy();
+      throw error;
+    } finally {
+      signal.removeEventListener('abort', wake);
     }
-    signal.removeEventListener('abort', wake);
     if (this.#rejection !== undefined) {
       this.#refuse(this.#rejection);
     }
@@ -143,6 +146,14 @@
     this.#socket.destroy();
   }
 
+  async #serveAll(signal: AbortSignal): Promise<void> {
+    let exchange = await this.#receive(signal);
+    while (exchange !== undefined) {
+      await this.#serve(exchange, signal);
+      exchange = await this.#receive(signal);
+    }
+  }
+
   /** Waits for the next request. Returns undefined when the connection has closed or is to be closed. */
   async #receive(signal: AbortSignal): Promise<HttpExchange | undefined> {
     let isIdleLimitReached = false;
--- a/test/listener/arrivedRequests.test.ts
+++ b/test/listener/arrivedRequests.test.ts
@@ -53,6 +53,10 @@
     [100, (socket) => socket.end()],
     [600, WAIT],
   ],
+  'a server that fails': [
+    [0, REQUEST.replace('/0', '/throw')],
+    [300, WAIT],
+  ],
 };
 
 describe('a request that has arrived', () => {
