Test that connections beyond the limit are counted

The listener closes them on arrival, before it has read anything, so that their callers may repeat the request.

--- a/test/listener/connectionEnds.test.ts
+++ b/test/listener/connectionEnds.test.ts
@@ -1,4 +1,5 @@
 /** Guards against a request that ends without an answer and leaves no line that tells by whom and how far it had come. */
+import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Socket } from 'node:net';
 import { expect } from 'chai';
@@ -39,16 +40,21 @@
     it(`is logged once with its reason: ${name}`, async () => {
       const socket = await listener.open();
       await act(socket);
-      await Promise.race([
-        new Promise((resolve) => {
-          socket.once('close', resolve);
-        }),
-        sleep(3_000),
-      ]);
+      await Promise.race([once(socket, 'close'), sleep(3_000)]);
       await sleep(50);
       const metrics = await listener.metrics.render();
       const counts = metrics.match(/(?<=^rhubarbcroft_connection_ends).*$/gm);
       expect({ counts, lines: listener.endLines }).toMatchSnapshot();
     });
   }
+
+  it('is counted and logged when the listener has as many connections as allowed', async () => {
+    await listener.stop();
+    listener = await new ListenerFixture().start(1);
+    await listener.open();
+    const socket = await listener.open();
+    await Promise.race([once(socket, 'close'), sleep(3_000)]);
+    const metrics = await listener.metrics.render();
+    expect(metrics).to.include('reason="connection_limit",unanswered="false"} 1');
+  });
 });
