--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -313,6 +313,27 @@
     to: 'addresses.forEach(',
     test: 'ends no task of a node, which goes on asking its peers',
   },
+  {
+    mechanism: 'reading what has arrived before a slow head is refused',
+    file: 'callers/HttpConnection.ts',
+    from: "if (this.#rejection?.reason === 'header_timeout') {",
+    to: 'if (this.#requestCount < 0) {',
+    test: 'is answered or refused as a whole',
+  },
+  {
+    mechanism: 'serving no request of a closed connection',
+    file: 'callers/HttpConnection.ts',
+    from: 'if (!this.#socket.writable) {',
+    to: 'if (this.#requestCount < 0) {',
+    test: 'is answered or refused as a whole',
+  },
+  {
+    mechanism: 'closing the connection of a failed task',
+    file: 'callers/HttpConnection.ts',
+    from: "this.noteEnd('internal_error', (error as Error).message);\n      this.#socket.destroy();",
+    to: '',
+    test: 'is answered or refused as a whole',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -88,6 +88,8 @@
     const receivedId = request.headers['x-request-id'];
     const requestId =
       typeof receivedId === 'string' && REQUEST_ID.test(receivedId) ? receivedId : randomUUID();
+    // A head that was found too slow may have arrived, unread, before its time limit.
+    this.#rejection = undefined;
     const markForwarded = this.#trace.track(request, response, requestId);
     const cut = (cause: string): void => {
       this.noteEnd('answer_cut', cause);
@@ -117,7 +119,9 @@
 
   #refuse(rejection: ParserRejection): void {
     this.noteEnd(rejection.reason, rejection.code);
-    if (this.#socket.writable && !(this.#trace.isReadingBody && this.#trace.hasBegunAnswer)) {
+    const hasNoRequest = rejection.reason === 'header_timeout' && !this.#trace.hasPartialRequest;
+    const isAnswering = this.#trace.isReadingBody && this.#trace.hasBegunAnswer;
+    if (this.#socket.writable && !hasNoRequest && !isAnswering) {
       refuseUnparsed(rejection, this.#socket);
     }
   }
@@ -125,12 +129,15 @@
   override async run(signal: AbortSignal): Promise<void> {
     const wake = (): void => this.#wake?.();
     signal.addEventListener('abort', wake, { once: true });
-    let exchange = await this.#receive(signal);
-    while (exchange !== undefined) {
-      await this.#serve(exchange, signal);
-      exchange = await this.#receive(signal);
+    try {
+      await this.#serveAll(signal);
+    } catch (error) {
+      this.noteEnd('internal_error', (error as Error).message);
+      this.#socket.destroy();
+      throw error;
+    } finally {
+      signal.removeEventListener('abort', wake);
     }
-    signal.removeEventListener('abort', wake);
     if (this.#rejection !== undefined) {
       this.#refuse(this.#rejection);
     }
@@ -139,6 +146,14 @@
     this.#socket.destroy();
   }
 
+  async #serveAll(signal: AbortSignal): Promise<void> {
+    let exchange = await this.#receive(signal);
+    while (exchange !== undefined) {
+      await this.#serve(exchange, signal);
+      exchange = await this.#receive(signal);
+    }
+  }
+
   /** Waits for the next request. Returns undefined when the connection has closed or is to be closed. */
   async #receive(signal: AbortSignal): Promise<HttpExchange | undefined> {
     let isIdleLimitReached = false;
@@ -150,12 +165,18 @@
         isIdleLimitReached = this.#idleLeftMs <= 0;
       }
     }
+    if (this.#rejection?.reason === 'header_timeout') {
+      await waitForEventLoop();
+    }
     if (this.#isWaiting && signal.aborted) {
       await this.#finishReceiving();
     }
     if (this.#isWaiting) {
       this.noteEnd(signal.aborted ? 'stop' : 'idle_limit');
     }
+    if (!this.#socket.writable) {
+      return undefined;
+    }
     const [exchange, ...others] = this.#exchanges;
     this.#exchanges = others;
     return exchange;
