--- a/bench/removals/removals.ts
+++ b/bench/removals/removals.ts
@@ -264,6 +264,13 @@
     to: 'addresses.forEach(',
     test: 'ends no task of a node, which goes on asking its peers',
   },
+  {
+    mechanism: 'a malformed snapshot of a peer fails no task',
+    file: 'gossip/GossipPoller.ts',
+    from: '{ peer: address, reason: (error as Error).message },',
+    to: '{ peer: address, reason: String(this.#state.mergeSnapshot(snapshot)) },',
+    test: 'ends no task of a node, which goes on asking its peers',
+  },
 ];
 
 export default removals;
--- a/packages/rhubarbcroft/src/gossip/GossipPoller.ts
+++ b/packages/rhubarbcroft/src/gossip/GossipPoller.ts
@@ -5,6 +5,7 @@
 import type Logger from 'bunyan';
 import type Clock from '../supervision/Clock.js';
 import PeriodicTask from '../supervision/PeriodicTask.js';
+import type GossipSnapshot from './GossipSnapshot.js';
 import type GossipState from './GossipState.js';
 import requestSnapshot from './requestSnapshot.js';
 
@@ -51,11 +52,24 @@
         { peer: address },
         'peer returned no gossip snapshot; trying again in the next round',
       );
-    } else if (this.#state.mergeSnapshot(snapshot)) {
-      const { routingVersion, instancesVersion } = this.#state.createSnapshotRequest();
-      this.#log.info(
-        { peer: address, routingVersion, instancesVersion },
-        'adopted newer routing or instances from a peer',
+    } else {
+      this.#merge(address, snapshot);
+    }
+  }
+
+  #merge(address: string, snapshot: GossipSnapshot): void {
+    try {
+      if (this.#state.mergeSnapshot(snapshot)) {
+        const { routingVersion, instancesVersion } = this.#state.createSnapshotRequest();
+        this.#log.info(
+          { peer: address, routingVersion, instancesVersion },
+          'adopted newer routing or instances from a peer',
+        );
+      }
+    } catch (error) {
+      this.#log.warn(
+        { peer: address, reason: (error as Error).message },
+        'received a malformed gossip snapshot; trying other peers in the next round',
       );
     }
   }
--- a/packages/rhubarbcroft/src/gossip/GossipState.ts
+++ b/packages/rhubarbcroft/src/gossip/GossipState.ts
@@ -196,7 +196,7 @@
     registry.find(instanceId)?.health.recordPeerReport(clock.nowMs());
   }
 
-  /** Takes over what is newer than the state of this node. Returns whether anything was newer. */
+  /** Takes over what is newer and returns whether anything was. Throws when the snapshot is malformed. */
   mergeSnapshot({ routing, instances, isCurrent, nodes }: GossipSnapshot): boolean {
     const { routing: routingHolder, registry } = this.#options;
     this.addNodes(nodes);
--- a/packages/rhubarbcroft/src/instances/InstanceRegistry.ts
+++ b/packages/rhubarbcroft/src/instances/InstanceRegistry.ts
@@ -93,8 +93,11 @@
   applyPeerPage(page: FeedPage<Instance>, isCurrent: boolean): void {
     const graceUntilMs = this.#graceUntilMs;
     this.#graceUntilMs = isCurrent ? -Infinity : Infinity;
-    this.replaceAll(page);
-    this.#graceUntilMs = graceUntilMs;
+    try {
+      this.replaceAll(page);
+    } finally {
+      this.#graceUntilMs = graceUntilMs;
+    }
   }
 
   override handleOutage(): void {
--- a/test/discovery/oddEntries.test.ts
+++ b/test/discovery/oddEntries.test.ts
@@ -221,7 +221,16 @@
 
 describe('an odd address or message of a peer', () => {
   it('ends no task of a node, which goes on asking its peers', async () => {
-    const tells = [{ nodes: ['10.0.0.9:99999', '10.0.0.9', 7, null] }];
+    const tells = [
+      7,
+      null,
+      {},
+      { nodes: 7 },
+      { nodes: [], instances: 7 },
+      { nodes: [], instances: { version: 9, rows: 7 } },
+      { nodes: [], instances: { version: 9, rows: [7] } },
+      { nodes: [], routing: { version: 9 } },
+    ];
     const codec = createGossipCodec();
     let asked = 0;
     const peer = createPeer((socket) => {
