Log which requests an engine had not begun to answer when it crashed

Change: when a connection breaks before a first event, the node opens one connection to the engine's address; a refused one confirms the crash, which is logged with the run and the shared parts of the requests that had produced nothing. The lines of attempts name the shared parts. Counter rhubarbcroft_crashes.

--- /dev/null
+++ b/packages/rhubarbcroft/src/forwarding/CrashReporter.ts
@@ -0,0 +1,99 @@
+/**
+ * Detects crashes of engines by the requests that ran there. When connections break before a first event, the
+ * engine may have crashed, or only the connections may have ended: a refused new connection confirms the crash. The
+ * requests that had produced nothing by then are its suspects; one that had begun to write is not.
+ */
+import type InstanceState from '../instances/InstanceState.js';
+import type InstanceRegistry from '../instances/InstanceRegistry.js';
+import type Clock from '../supervision/Clock.js';
+import type Metrics from '../telemetry/Metrics.js';
+import type Logger from 'bunyan';
+import type AttemptResult from './AttemptResult.js';
+import type ForwardRequest from './ForwardRequest.js';
+
+interface CrashReporterOptions {
+  readonly registry: InstanceRegistry;
+  /** Whether a new connection to the address is refused. */
+  readonly isRefused: (address: string) => Promise<boolean>;
+  readonly metrics: Metrics;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/** The broken requests of one run of an instance, since the first of them. */
+interface BrokenRun {
+  readonly sinceMs: number;
+  readonly prompts: readonly (readonly string[])[];
+  readonly hasCrashed: boolean;
+}
+
+/** The connections of a crashed engine break within this time of each other, at the nodes of its own region. */
+const COLLECT_MS = 20;
+/** Requests that break later do not belong to the same event. */
+const BROKEN_RUN_MS = 1_000;
+const MAX_LOGGED_PROMPTS = 16;
+
+export default class CrashReporter {
+  readonly #options: CrashReporterOptions;
+
+  /** By `id@startedAtMs`. */
+  readonly #brokenRuns = new Map<string, BrokenRun>();
+
+  constructor(options: CrashReporterOptions) {
+    this.#options = options;
+  }
+
+  /** Records the result of an attempt; `hasBegun` tells whether the caller has received any event. */
+  recordResult(
+    { prompt }: ForwardRequest,
+    target: InstanceState,
+    result: AttemptResult,
+    hasBegun: boolean,
+  ): void {
+    const { registry } = this.#options;
+    const isBroken = result.type === 'failed' && result.failure.kind === 'broken';
+    const isServing = registry.find(target.instance.id) === target && !target.instance.isLeaving;
+    const sharedParts = prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [];
+    if (isBroken && isServing && !hasBegun && sharedParts.length > 0) {
+      this.#recordBreak(target, sharedParts);
+    }
+  }
+
+  #recordBreak({ instance }: InstanceState, sharedParts: readonly string[]): void {
+    const { clock } = this.#options;
+    const nowMs = clock.nowMs();
+    const run = `${instance.id}@${instance.startedAtMs}`;
+    const known = this.#brokenRuns.get(run);
+    if (known !== undefined && nowMs - known.sinceMs < BROKEN_RUN_MS) {
+      this.#brokenRuns.set(run, { ...known, prompts: [...known.prompts, sharedParts] });
+      if (known.hasCrashed) {
+        this.#report(run, [sharedParts]);
+      }
+      return;
+    }
+    this.#brokenRuns.set(run, { sinceMs: nowMs, prompts: [sharedParts], hasCrashed: false });
+    void this.#confirm(run, instance.address);
+  }
+
+  async #confirm(run: string, address: string): Promise<void> {
+    const { clock, isRefused, metrics } = this.#options;
+    await clock.sleep(COLLECT_MS);
+    const hasCrashed = await isRefused(address);
+    const broken = this.#brokenRuns.get(run);
+    if (broken !== undefined && hasCrashed) {
+      metrics.increment('crashes');
+      this.#brokenRuns.set(run, { ...broken, hasCrashed });
+      this.#report(run, broken.prompts);
+    }
+    await clock.sleep(BROKEN_RUN_MS);
+    this.#brokenRuns.delete(run);
+  }
+
+  #report(run: string, prompts: readonly (readonly string[])[]): void {
+    const { log } = this.#options;
+    log.info(
+      { run, suspects: prompts.length, prompts: prompts.slice(0, MAX_LOGGED_PROMPTS) },
+      'engine crashed: connections broke before a first event and new ones are refused',
+    );
+  }
+}
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -9,6 +9,7 @@
 import type Result from 'true-myth/result';
 import Attempt from './Attempt.js';
 import type AttemptResult from './AttemptResult.js';
+import type CrashReporter from './CrashReporter.js';
 import type EndpointChooser from './EndpointChooser.js';
 import type ForwardContext from './ForwardContext.js';
 import type ForwardRequest from './ForwardRequest.js';
@@ -21,6 +22,7 @@
   readonly context: ForwardContext;
   readonly engines: EndpointChooser;
   readonly services: EndpointChooser;
+  readonly crashes: CrashReporter;
 }
 
 /** State of a request between its attempts. */
@@ -78,7 +80,7 @@
     relay: StreamRelay,
     signal: AbortSignal,
   ): Promise<Result<ForwardResult, Failure>> {
-    const { context } = this.#options;
+    const { context, crashes } = this.#options;
     context.retryBudget.recordRequest(request.service, context.clock.nowMs());
     let progress: Progress = {
       runs: 0,
@@ -105,6 +107,9 @@
         maxPauseMs: mayRunAgain ? findMaxPauseMs(request) : undefined,
       });
       const result = await attempt.run(signal);
+      if (!signal.aborted) {
+        crashes.recordResult(request, placement.target, result, relay.hasEvents);
+      }
       progress = Forwarder.#recordResult(progress, placement, result);
       this.#log(request, placement, result, progress);
       if (!this.#mayRetry(request, progress, signal)) {
@@ -186,6 +191,7 @@
       expectedMs: Math.round(placement.expectedMs),
       sends,
       tookMs: Math.round(clock.nowMs() - request.arrivedAtMs),
+      parts: request.prompt?.parts.slice(0, -1).map(({ id }) => id),
     };
     metrics.increment('attempts', {
       service: request.service,
--- a/packages/rhubarbcroft/src/gateway/createGateway.ts
+++ b/packages/rhubarbcroft/src/gateway/createGateway.ts
@@ -20,12 +20,14 @@
 import LeaderLink from '../gossip/LeaderLink.js';
 import NodeAnnouncer from '../gossip/NodeAnnouncer.js';
 import EndpointNotifier from '../gossip/EndpointNotifier.js';
+import CrashReporter from '../forwarding/CrashReporter.js';
 import EngineChooser from '../forwarding/EngineChooser.js';
 import type ForwardContext from '../forwarding/ForwardContext.js';
 import Forwarder from '../forwarding/Forwarder.js';
 import ForwardingFrontEnd from '../forwarding/ForwardingFrontEnd.js';
 import ServiceChooser from '../forwarding/ServiceChooser.js';
 import InstanceRegistry from '../instances/InstanceRegistry.js';
+import isConnectionRefused from '../instances/isConnectionRefused.js';
 import type Instance from '../instances/Instance.js';
 import SocketListener from '../peers/SocketListener.js';
 import RoutingConsumer from '../routes/RoutingConsumer.js';
@@ -194,6 +196,10 @@
     context,
     engines: new EngineChooser(context, placement),
     services: new ServiceChooser(context),
+    crashes: new CrashReporter({
+      ...context,
+      isRefused: (address) => isConnectionRefused(address, CONNECT_TIMEOUT_MS),
+    }),
   });
   const random = xoroshiro128plus(process.pid);
   return supervisor.declareChildren(
