Find the prompt part that crashes engines, and hold it

Cause: the platform's path had no memory of crashes. PoisonTracker, of the daemon, knows whole requests only; here no two are alike, and what they share is one part of the prompt.

Nothing uses it yet.

--- /dev/null
+++ b/packages/rhubarbcroft/src/decisions/poison/judgeParts.ts
@@ -0,0 +1,113 @@
+/**
+ * Decides which prompt parts are responsible for crashes. A part is blamed when no answer has begun on it since
+ * several crashes that nothing else explains. Requests that ran beside a poisonous one share some of the crashes, so
+ * the part with the most crashes is blamed first, and its crashes then count against no other part.
+ */
+import type CrashReport from './CrashReport.js';
+import type PartVerdict from './PartVerdict.js';
+
+const CRASHES_TO_BLAME = 2;
+/** Answers have begun on the part before, so that it is less likely to be poisonous. */
+const CRASHES_TO_BLAME_PROVEN = 3;
+/** Among more parts with the same crashes, evidence does not distinguish the cause from its companions. */
+const MAX_EQUAL_PARTS = 4;
+
+interface SuspectPart {
+  readonly part: string;
+  readonly isProven: boolean;
+  readonly crashes: readonly CrashReport[];
+}
+
+/** The parts of one prompt that may have caused a crash: those without any answer, if there are some. */
+function listSuspects(
+  prompt: readonly string[],
+  cleared: ReadonlySet<string>,
+  proven: ReadonlySet<string>,
+): readonly string[] {
+  const open = prompt.filter((part) => !cleared.has(part));
+  const unproven = open.filter((part) => !proven.has(part));
+  return unproven.length > 0 ? unproven : open;
+}
+
+function hasSuspects({ prompts, cleared }: CrashReport): boolean {
+  const done = new Set(cleared);
+  return prompts.some((prompt) => prompt.some((part) => !done.has(part)));
+}
+
+function collectSuspects(reports: readonly CrashReport[]): readonly SuspectPart[] {
+  const suspects = new Map<string, SuspectPart>();
+  reports.forEach((report) => {
+    const cleared = new Set(report.cleared);
+    const proven = new Set(report.provenBefore);
+    const parts = new Set(
+      report.prompts.flatMap((prompt) => listSuspects(prompt, cleared, proven)),
+    );
+    parts.forEach((part) => {
+      const known = suspects.get(part);
+      suspects.set(part, {
+        part,
+        isProven: (known?.isProven ?? false) || proven.has(part),
+        crashes: [...(known?.crashes ?? []), report],
+      });
+    });
+  });
+  return [...suspects.values()];
+}
+
+function countNeeded({ isProven }: SuspectPart): number {
+  return isProven ? CRASHES_TO_BLAME_PROVEN : CRASHES_TO_BLAME;
+}
+
+/** Whether a deeper part of the group is in every prompt of these crashes in which the part is. */
+function isAccompanied({ part, crashes }: SuspectPart, group: ReadonlySet<string>): boolean {
+  return crashes.every(({ prompts }) =>
+    prompts
+      .filter((prompt) => prompt.includes(part))
+      .every((prompt) =>
+        prompt.slice(prompt.indexOf(part) + 1).some((deeper) => group.has(deeper)),
+      ),
+  );
+}
+
+/** Among parts with the same crashes, those that cannot be told apart from the cause. */
+function chooseBlamed(equal: readonly SuspectPart[]): readonly SuspectPart[] {
+  const group = new Set(equal.map(({ part }) => part));
+  const blamed = equal.filter((suspect) => !isAccompanied(suspect, group));
+  return blamed.length > MAX_EQUAL_PARTS ? [] : blamed;
+}
+
+function createKey({ crashes }: SuspectPart): string {
+  return crashes.map(({ run }) => run).join(' ');
+}
+
+export default function judgeParts(reports: readonly CrashReport[]): readonly PartVerdict[] {
+  const verdicts: PartVerdict[] = [];
+  let left = reports.filter(hasSuspects).sort((a, b) => (a.run < b.run ? -1 : 1));
+  for (;;) {
+    const suspects = collectSuspects(left).filter(
+      (suspect) => suspect.crashes.length >= countNeeded(suspect),
+    );
+    const best = suspects.toSorted(
+      (a, b) =>
+        Number(a.isProven) - Number(b.isProven) ||
+        b.crashes.length - a.crashes.length ||
+        (createKey(a) < createKey(b) ? -1 : 1),
+    )[0];
+    if (best === undefined) {
+      return verdicts;
+    }
+    const equal = suspects.filter(
+      (suspect) => suspect.isProven === best.isProven && createKey(suspect) === createKey(best),
+    );
+    chooseBlamed(equal).forEach((suspect) => {
+      const { part, crashes } = suspect;
+      verdicts.push({
+        part,
+        crashes: crashes.length,
+        repeats: crashes.length - countNeeded(suspect),
+        lastCrashAtMs: Math.max(...crashes.map(({ atMs }) => atMs)),
+      });
+    });
+    left = left.filter((report) => !best.crashes.includes(report));
+  }
+}
