Exchange crash reports among the nodes

Change: what a node learns about a crash, and the start of a test, travels with the notices to peers at once and is passed on once by those that did not know it. A peer gets the open reports with each new connection, and again in turn every second, so that a node that was cut off or restarted knows them in time; links reconnect after 2 s at most (4 before). Reports carry ages, are checked when decoded, and are an optional field that older versions ignore. Nothing records crashes yet.

--- a/packages/rhubarbcroft/src/gossip/EndpointNotifier.ts
+++ b/packages/rhubarbcroft/src/gossip/EndpointNotifier.ts
@@ -1,7 +1,7 @@
 /**
  * Reports to the peers which prompts this node dispatched to which engines, so that all nodes include them in
  * their estimates of queues and caches, and which endpoints it could not reach, so that the others learn it
- * without a failed connection of their own. Each peer has its own link. In a large fleet only some peers are
+ * without a failed connection of their own, and what it learns about crashes of engines. Each peer has its own link. In a large fleet only some peers are
  * notified: those of the own failure domain, which dispatch to the same engines, and some others, in an order
  * that differs from node to node.
  */
@@ -15,13 +15,18 @@
 import type EndpointNotice from './EndpointNotice.js';
 import type DispatchedPrompt from './DispatchedPrompt.js';
 import createGossipCodec from './createGossipCodec.js';
+import encodeEvidence from './encodeEvidence.js';
+import type EvidenceExchange from './EvidenceExchange.js';
 
 /** Prefilling a medium-sized prompt takes about this long; a notice that arrives later is of little use. */
 const BATCH_PERIOD_MS = 40;
 /** The number of nodes of one failure domain in the largest fleet that the system is designed for. */
 const MAX_LINKS = 24;
+/** Enough for the crashes that led to a verdict, in a frame of a few KB. */
+const MAX_REPEATED_REPORTS = 8;
 
-type WireDispatch = Extract<GossipMessage, { readonly type: 'notices' }>['sends'][number];
+type WireNotices = Extract<GossipMessage, { readonly type: 'notices' }>;
+type WireDispatch = WireNotices['sends'][number];
 
 function encodeDispatch(prompt: DispatchedPrompt): WireDispatch {
   const { instanceId, rank, prefillMs, outputTokens, sharedParts } = prompt;
@@ -40,12 +45,32 @@
 
   readonly #links = new Map<string, NoticeLink>();
 
+  #evidence: EvidenceExchange | undefined;
+
+  #nextRepeat = 0;
+
   constructor(state: GossipState, supervisor: Supervisor, clock: Clock) {
     super(clock, BATCH_PERIOD_MS);
     this.#state = state;
     this.#supervisor = supervisor;
   }
 
+  /** Sets the source of the crash reports that are repeated. */
+  setEvidence(evidence: EvidenceExchange): void {
+    this.#evidence = evidence;
+  }
+
+  /** Repeats the crash reports to one peer in turn, in case it missed them. */
+  repeatEvidence(): void {
+    this.#openLinks();
+    const links = [...this.#links.values()];
+    const frame = this.#encodeKnownEvidence();
+    if (frame !== undefined && links.length > 0) {
+      links[this.#nextRepeat % links.length].send(frame);
+      this.#nextRepeat += 1;
+    }
+  }
+
   protected override send(notices: readonly EndpointNotice[]): void {
     this.#openLinks();
     const frame = this.#codec.encode({
@@ -56,10 +81,27 @@
       unreachable: notices.flatMap((notice) =>
         notice.type === 'unreachable' ? [notice.instanceId] : [],
       ),
+      evidence: this.#encodeNews(notices),
     });
     this.#links.forEach((link) => link.send(frame));
   }
 
+  #encodeNews(notices: readonly EndpointNotice[]): WireNotices['evidence'] {
+    const reports = notices.flatMap((notice) => (notice.type === 'crash' ? [notice.report] : []));
+    const trials = notices.flatMap((notice) => (notice.type === 'trial' ? [notice.trial] : []));
+    return reports.length + trials.length === 0
+      ? undefined
+      : encodeEvidence(reports, trials, this.clock.nowMs());
+  }
+
+  #encodeKnownEvidence(): Buffer | undefined {
+    const reports = this.#evidence?.listReports().slice(0, MAX_REPEATED_REPORTS) ?? [];
+    const evidence = encodeEvidence(reports, [], this.clock.nowMs());
+    return reports.length === 0
+      ? undefined
+      : this.#codec.encode({ type: 'notices', sends: [], unreachable: [], evidence });
+  }
+
   #openLinks(): void {
     if (this.#links.size === MAX_LINKS || this.#links.size === this.#state.nodes.length) {
       return;
@@ -68,7 +110,7 @@
     const others = orderByHash(ownAddress, nodes);
     [...neighbours, ...others].forEach((address) => {
       if (address !== ownAddress && !this.#links.has(address) && this.#links.size < MAX_LINKS) {
-        const link = new NoticeLink(address, this.clock);
+        const link = new NoticeLink(address, this.clock, () => this.#encodeKnownEvidence());
         this.#links.set(address, link);
         this.#supervisor.add(link);
       }
--- a/packages/rhubarbcroft/src/gossip/GossipConnection.ts
+++ b/packages/rhubarbcroft/src/gossip/GossipConnection.ts
@@ -82,6 +82,7 @@
               this.#state.recordDispatch(decodeDispatch(dispatch)),
             );
             message.unreachable.forEach((instanceId) => this.#state.recordUnreachable(instanceId));
+            this.#mergeEvidence(message.evidence);
           }
         });
       }
@@ -95,6 +96,15 @@
     }
   }
 
+  #mergeEvidence(encoded: unknown): void {
+    if (encoded === undefined) {
+      return;
+    }
+    if (!this.#state.mergeEvidence(encoded as object)) {
+      this.#log.warn('received malformed crash reports from a peer; ignoring them');
+    }
+  }
+
   /**
    * Sends a pulse to the follower every `PULSE_PERIOD_MS` until the connection is closed. A pulse carries the
    * instances when they have changed since the last one that did; the first instances are sent when this
--- a/packages/rhubarbcroft/src/gossip/GossipMessage.ts
+++ b/packages/rhubarbcroft/src/gossip/GossipMessage.ts
@@ -2,6 +2,7 @@
 import type FeedPage from '../discovery/FeedPage.js';
 import type Instance from '../instances/Instance.js';
 import type GossipSnapshot from './GossipSnapshot.js';
+import type WireEvidence from './WireEvidence.js';
 
 type GossipMessage =
   | {
@@ -45,6 +46,8 @@
       ])[];
       /** Instances that could not be reached since the last notices. */
       readonly unreachable: readonly string[];
+      /** Absent in notices of nodes that run an older version. */
+      readonly evidence?: WireEvidence | undefined;
     };
 
 export default GossipMessage;
--- a/packages/rhubarbcroft/src/gossip/GossipState.ts
+++ b/packages/rhubarbcroft/src/gossip/GossipState.ts
@@ -11,6 +11,8 @@
 import type GossipSnapshot from './GossipSnapshot.js';
 import type GossipMessage from './GossipMessage.js';
 import type DispatchedPrompt from './DispatchedPrompt.js';
+import type EvidenceExchange from './EvidenceExchange.js';
+import parseEvidence from './parseEvidence.js';
 
 type SnapshotRequest = Extract<GossipMessage, { readonly type: 'ask' }>;
 type FollowRequest = Extract<GossipMessage, { readonly type: 'follow' }>;
@@ -46,6 +48,8 @@
   /** The feeds of the store that this node reads. */
   #feeds: readonly { readonly isHealthy: boolean }[] = [];
 
+  #evidence: EvidenceExchange | undefined;
+
   constructor(options: GossipStateOptions) {
     this.#options = options;
   }
@@ -61,6 +65,11 @@
     this.#feeds = feeds;
   }
 
+  /** Sets what receives the crash reports of the peers. */
+  setEvidence(evidence: EvidenceExchange): void {
+    this.#evidence = evidence;
+  }
+
   /** The address at which this node accepts peers, as `host:port`. */
   get address(): string {
     return this.#options.address;
@@ -195,6 +204,15 @@
     registry.find(instanceId)?.health.recordPeerReport(clock.nowMs());
   }
 
+  /** Takes over the crash reports of a peer; returns false if they are malformed. */
+  mergeEvidence(encoded: object): boolean {
+    const evidence = parseEvidence(encoded, this.#options.clock.nowMs());
+    if (evidence !== undefined) {
+      this.#evidence?.merge(evidence.reports, evidence.trials);
+    }
+    return evidence !== undefined;
+  }
+
   /** Takes over what is newer than the state of this node. Returns whether anything was newer. */
   mergeSnapshot({ routing, instances, isCurrent, nodes }: GossipSnapshot): boolean {
     const { routing: routingHolder, registry } = this.#options;
--- a/packages/rhubarbcroft/src/gossip/NoticeLink.ts
+++ b/packages/rhubarbcroft/src/gossip/NoticeLink.ts
@@ -1,7 +1,7 @@
 /**
  * The task of one peer that receives this node's notices: connects, then writes each batch. Batches are dropped
  * while there is no connection, and a connection whose peer does not read is closed, since a notice is worth
- * nothing a second later.
+ * nothing a second later. What a peer must not miss is sent again with each new connection.
  */
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
@@ -9,7 +9,8 @@
 import Task from '../supervision/Task.js';
 
 const RECONNECT_MIN_MS = 500;
-const RECONNECT_MAX_MS = 4_000;
+/** With the connection time-out below the 4 s after which a peer that was cut off must know what the others know. */
+const RECONNECT_MAX_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Several batches of a busy node; a peer with more unsent bytes is assumed not to read and is disconnected. */
 const MAX_UNSENT_BYTES = 16_384;
@@ -21,13 +22,21 @@
 
   readonly #clock: Clock;
 
+  /** Creates the first frame of a connection; undefined when there is nothing to tell. */
+  readonly #createGreeting: () => Buffer | undefined;
+
   #socket: Socket | undefined;
 
-  constructor(address: string, clock: Clock) {
+  constructor(
+    address: string,
+    clock: Clock,
+    createGreeting: () => Buffer | undefined = () => undefined,
+  ) {
     super();
     this.name = `notices ${address}`;
     this.#address = address;
     this.#clock = clock;
+    this.#createGreeting = createGreeting;
   }
 
   /** Writes a frame if the link is connected; otherwise the frame is dropped. */
@@ -64,6 +73,10 @@
     socket.once('connect', () => {
       clearTimeout(timer);
       this.#socket = socket;
+      const greeting = this.#createGreeting();
+      if (greeting !== undefined) {
+        this.send(greeting);
+      }
     });
     // When the peer ends, the socket reports an error or closes; either way `run` reconnects.
     socket.on('error', close);
