Refuse requests with a prompt part that crashes engines

Cause: nothing connected the crashes, so the request itself was sent on to the next engine, and so was each new one.

Change: PromptScreen asks the quarantine at arrival and before each further dispatch, and interrupts a request that waits for its first event when one of its parts is blamed; refusals are 503 PART_QUARANTINED, not run, with the end of the hold as Retry-After. A request that tests a part uses one engine. Verdicts are logged and shown in the state dump; gauge rhubarbcroft_quarantined_parts.

--- a/packages/rhubarbcroft/src/forwarding/CrashReporter.ts
+++ b/packages/rhubarbcroft/src/forwarding/CrashReporter.ts
@@ -4,20 +4,12 @@
  * requests that had produced nothing by then are its suspects; one that had begun to write is not.
  */
 import type InstanceState from '../instances/InstanceState.js';
-import type InstanceRegistry from '../instances/InstanceRegistry.js';
-import type Clock from '../supervision/Clock.js';
-import type Metrics from '../telemetry/Metrics.js';
-import type Logger from 'bunyan';
-import type AttemptResult from './AttemptResult.js';
-import type ForwardRequest from './ForwardRequest.js';
+import type ForwardContext from './ForwardContext.js';
 
 interface CrashReporterOptions {
-  readonly registry: InstanceRegistry;
   /** Whether a new connection to the address is refused. */
   readonly isRefused: (address: string) => Promise<boolean>;
-  readonly metrics: Metrics;
-  readonly clock: Clock;
-  readonly log: Logger;
+  readonly recordCrash: (run: string, prompts: readonly (readonly string[])[]) => void;
 }
 
 /** The broken requests of one run of an instance, since the first of them. */
@@ -34,33 +26,25 @@
 const MAX_LOGGED_PROMPTS = 16;
 
 export default class CrashReporter {
+  readonly #context: ForwardContext;
+
   readonly #options: CrashReporterOptions;
 
   /** By `id@startedAtMs`. */
   readonly #brokenRuns = new Map<string, BrokenRun>();
 
-  constructor(options: CrashReporterOptions) {
+  constructor(context: ForwardContext, options: CrashReporterOptions) {
+    this.#context = context;
     this.#options = options;
   }
 
-  /** Records the result of an attempt; `hasBegun` tells whether the caller has received any event. */
-  recordResult(
-    { prompt }: ForwardRequest,
-    target: InstanceState,
-    result: AttemptResult,
-    hasBegun: boolean,
-  ): void {
-    const { registry } = this.#options;
-    const isBroken = result.type === 'failed' && result.failure.kind === 'broken';
-    const isServing = registry.find(target.instance.id) === target && !target.instance.isLeaving;
-    const sharedParts = prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [];
-    if (isBroken && isServing && !hasBegun && sharedParts.length > 0) {
-      this.#recordBreak(target, sharedParts);
+  /** Records that a connection broke before the first event of a request with these parts. */
+  recordBreak(target: InstanceState, sharedParts: readonly string[]): void {
+    const { clock, registry } = this.#context;
+    const { instance } = target;
+    if (registry.find(instance.id) !== target || instance.isLeaving) {
+      return;
     }
-  }
-
-  #recordBreak({ instance }: InstanceState, sharedParts: readonly string[]): void {
-    const { clock } = this.#options;
     const nowMs = clock.nowMs();
     const run = `${instance.id}@${instance.startedAtMs}`;
     const known = this.#brokenRuns.get(run);
@@ -76,9 +60,9 @@
   }
 
   async #confirm(run: string, address: string): Promise<void> {
-    const { clock, isRefused, metrics } = this.#options;
+    const { clock, metrics } = this.#context;
     await clock.sleep(COLLECT_MS);
-    const hasCrashed = await isRefused(address);
+    const hasCrashed = await this.#options.isRefused(address);
     const broken = this.#brokenRuns.get(run);
     if (broken !== undefined && hasCrashed) {
       metrics.increment('crashes');
@@ -90,10 +74,10 @@
   }
 
   #report(run: string, prompts: readonly (readonly string[])[]): void {
-    const { log } = this.#options;
-    log.info(
+    this.#context.log.info(
       { run, suspects: prompts.length, prompts: prompts.slice(0, MAX_LOGGED_PROMPTS) },
       'engine crashed: connections broke before a first event and new ones are refused',
     );
+    this.#options.recordCrash(run, prompts);
   }
 }
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -9,12 +9,13 @@
 import type Result from 'true-myth/result';
 import Attempt from './Attempt.js';
 import type AttemptResult from './AttemptResult.js';
-import type CrashReporter from './CrashReporter.js';
 import type EndpointChooser from './EndpointChooser.js';
 import type ForwardContext from './ForwardContext.js';
 import type ForwardRequest from './ForwardRequest.js';
 import type BufferedAnswer from './BufferedAnswer.js';
 import type Placement from './Placement.js';
+import PromptScreen from './PromptScreen.js';
+import type QuarantineKeeper from './QuarantineKeeper.js';
 import type StreamRelay from './StreamRelay.js';
 import type AttemptHistory from './AttemptHistory.js';
 
@@ -22,7 +23,7 @@
   readonly context: ForwardContext;
   readonly engines: EndpointChooser;
   readonly services: EndpointChooser;
-  readonly crashes: CrashReporter;
+  readonly keeper: QuarantineKeeper;
 }
 
 /** State of a request between its attempts. */
@@ -80,8 +81,25 @@
     relay: StreamRelay,
     signal: AbortSignal,
   ): Promise<Result<ForwardResult, Failure>> {
-    const { context, crashes } = this.#options;
+    const { context, keeper } = this.#options;
     context.retryBudget.recordRequest(request.service, context.clock.nowMs());
+    const screen = new PromptScreen(keeper, request.prompt);
+    relay.onFirstEvent(() => screen.recordAnswer());
+    try {
+      const held = screen.refuse();
+      return held === undefined ? await this.#forward(request, relay, screen, signal) : err(held);
+    } finally {
+      screen.close();
+    }
+  }
+
+  async #forward(
+    request: ForwardRequest,
+    relay: StreamRelay,
+    screen: PromptScreen,
+    signal: AbortSignal,
+  ): Promise<Result<ForwardResult, Failure>> {
+    const { context } = this.#options;
     let progress: Progress = {
       runs: 0,
       sends: 0,
@@ -90,11 +108,12 @@
       last: undefined,
       held: undefined,
     };
-    let placement = this.#choose(request, progress);
+    let placement = this.#choose(request, progress, screen);
     const refusal = placement && this.#refuseUnreachableDeadline(request, placement);
     if (refusal !== undefined) {
       return err(refusal);
     }
+    const attemptSignal = screen.combine(signal);
     while (placement !== undefined && !signal.aborted) {
       const lastEventId = relay.lastEventId ?? request.lastEventId;
       const mayRunAgain = this.#mayRunAgain(request, progress.runs + 1);
@@ -106,16 +125,22 @@
         answerTimeoutMs: mayRunAgain ? this.#findAnswerTimeoutMs(request, placement) : undefined,
         maxPauseMs: mayRunAgain ? findMaxPauseMs(request) : undefined,
       });
-      const result = await attempt.run(signal);
-      if (!signal.aborted) {
-        crashes.recordResult(request, placement.target, result, relay.hasEvents);
-      }
+      const result = await attempt.run(attemptSignal);
+      screen.recordResult(placement.target, result, attemptSignal.aborted);
       progress = Forwarder.#recordResult(progress, placement, result);
       this.#log(request, placement, result, progress);
       if (!this.#mayRetry(request, progress, signal)) {
         return Forwarder.#conclude(progress, placement, signal);
       }
-      placement = this.#spendRetry(request, result) ? this.#choose(request, progress) : undefined;
+      const held = screen.refuse();
+      if (held !== undefined) {
+        return progress.ran === 'not_run'
+          ? err(held)
+          : Forwarder.#conclude(progress, placement, signal);
+      }
+      placement = this.#spendRetry(request, result)
+        ? this.#choose(request, progress, screen)
+        : undefined;
     }
     return Forwarder.#conclude(progress, placement, signal);
   }
@@ -127,10 +152,19 @@
     return wasUnsent || retryBudget.spend(request.service, clock.nowMs());
   }
 
-  #choose(request: ForwardRequest, history: AttemptHistory): Placement | undefined {
+  /** Chooses a placement. The test of a held part uses one engine, since a separate prefill would be in vain. */
+  #choose(
+    request: ForwardRequest,
+    history: AttemptHistory,
+    screen: PromptScreen,
+  ): Placement | undefined {
     const { engines, services } = this.#options;
     const chooser = request.prompt === undefined ? services : engines;
-    return chooser.choose(request, history);
+    const { triedIds, sends } = history;
+    return chooser.choose(request, {
+      triedIds,
+      sends: screen.isTrial ? Math.max(1, sends) : sends,
+    });
   }
 
   /** Refuses a request on arrival when its first token is expected too late for its deadline. */
--- a/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
+++ b/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
@@ -20,6 +20,8 @@
 
   #eventBytes = 0;
 
+  #handleFirstEvent: (() => void) | undefined;
+
   constructor(response: ServerResponse) {
     this.#response = response;
   }
@@ -39,6 +41,11 @@
     return this.#splitter.lastEventId;
   }
 
+  /** Calls `listener` once, with the first event that has data. */
+  onFirstEvent(listener: () => void): void {
+    this.#handleFirstEvent = listener;
+  }
+
   /** Sends the head of the first answer; the heads of later attempts are ignored. */
   begin({ status, rawHeaders }: StreamHead): void {
     if (!this.#response.headersSent) {
@@ -63,6 +70,8 @@
         }
       }
       if (this.#splitter.dataEvents > countBefore) {
+        this.#handleFirstEvent?.();
+        this.#handleFirstEvent = undefined;
         onProgress();
       }
     }
--- a/packages/rhubarbcroft/src/gateway/createGateway.ts
+++ b/packages/rhubarbcroft/src/gateway/createGateway.ts
@@ -10,6 +10,7 @@
 import HttpListener from '../callers/HttpListener.js';
 import CostPromptPlacement from '../decisions/placement/CostPromptPlacement.js';
 import EngineSpeeds from '../decisions/placement/EngineSpeeds.js';
+import orderByHash from '../decisions/orderByHash.js';
 import computeTransferMsPerToken from '../decisions/placement/computeTransferMsPerToken.js';
 import FleetRetryBudget from '../decisions/retries/FleetRetryBudget.js';
 import FeedReader from '../discovery/FeedReader.js';
@@ -20,10 +21,11 @@
 import LeaderLink from '../gossip/LeaderLink.js';
 import NodeAnnouncer from '../gossip/NodeAnnouncer.js';
 import EndpointNotifier from '../gossip/EndpointNotifier.js';
-import CrashReporter from '../forwarding/CrashReporter.js';
+import EvidenceRepeater from '../gossip/EvidenceRepeater.js';
 import EngineChooser from '../forwarding/EngineChooser.js';
 import type ForwardContext from '../forwarding/ForwardContext.js';
 import Forwarder from '../forwarding/Forwarder.js';
+import QuarantineKeeper from '../forwarding/QuarantineKeeper.js';
 import ForwardingFrontEnd from '../forwarding/ForwardingFrontEnd.js';
 import ServiceChooser from '../forwarding/ServiceChooser.js';
 import InstanceRegistry from '../instances/InstanceRegistry.js';
@@ -186,8 +188,9 @@
   { settings, log, shutdown }: GatewayOptions,
   { routing }: NodeState,
   context: ForwardContext,
-  clock: SystemClock,
+  keeper: QuarantineKeeper,
 ): Supervisor {
+  const { clock } = context;
   const supervisor = new Supervisor('callers', clock, log);
   const placement = new CostPromptPlacement(settings, context.speeds, () =>
     readFleetTransferMs(routing),
@@ -196,10 +199,7 @@
     context,
     engines: new EngineChooser(context, placement),
     services: new ServiceChooser(context),
-    crashes: new CrashReporter({
-      ...context,
-      isRefused: (address) => isConnectionRefused(address, CONNECT_TIMEOUT_MS),
-    }),
+    keeper,
   });
   const random = xoroshiro128plus(process.pid);
   return supervisor.declareChildren(
@@ -226,6 +226,13 @@
   const metrics = new PrometheusMetrics();
   const context = createContext(options, state, notifier, metrics, clock);
   const { peerAddress } = settings;
+  const keeper = new QuarantineKeeper(context, {
+    countNodesAhead: (part) =>
+      orderByHash(part, [...state.gossipState.nodes, peerAddress]).indexOf(peerAddress),
+    isRefused: (address) => isConnectionRefused(address, CONNECT_TIMEOUT_MS),
+  });
+  state.gossipState.setEvidence(keeper);
+  notifier.setEvidence(keeper);
   return new Supervisor('root', clock, log).declareChildren(
     new Supervisor('discovery', clock, log).declareChildren(...state.readers),
     peers.declareChildren(
@@ -237,6 +244,7 @@
         createTask: (socket) => new GossipConnection(socket, state.gossipState, log),
       }),
       notifier,
+      new EvidenceRepeater(notifier, keeper, clock),
       state.leader,
       new GossipPoller(state.gossipState, clock, log),
       new NodeAnnouncer(sources.nodes, state.gossipState, {
@@ -258,6 +266,6 @@
       }),
     ),
     planProbes(options, state, metrics, clock),
-    planCallers(options, state, context, clock),
+    planCallers(options, state, context, keeper),
   );
 }
