--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -15,13 +15,17 @@
 import type BufferedAnswer from './BufferedAnswer.js';
 import NextAttempt from './NextAttempt.js';
 import type Placement from './Placement.js';
+import PromptScreen from './PromptScreen.js';
+import type QuarantineKeeper from './QuarantineKeeper.js';
 import type StreamRelay from './StreamRelay.js';
 import type AttemptHistory from './AttemptHistory.js';
+import logAttempt from './logAttempt.js';
 
 interface ForwarderOptions {
   readonly context: ForwardContext;
   readonly engines: EndpointChooser;
   readonly services: EndpointChooser;
+  readonly keeper: QuarantineKeeper;
 }
 
 /** State of a request between its attempts. */
@@ -82,8 +86,25 @@
     relay: StreamRelay,
     signal: AbortSignal,
   ): Promise<Result<ForwardResult, Failure>> {
-    const { context } = this.#options;
+    const { context, keeper } = this.#options;
     context.retryBudget.recordRequest(request.service, context.clock.nowMs());
+    const screen = new PromptScreen(keeper, request.prompt);
+    relay.onFirstEvent(() => screen.recordAnswer());
+    try {
+      const held = screen.refuse();
+      return held === undefined ? await this.#forward(request, relay, screen, signal) : err(held);
+    } finally {
+      screen.close();
+    }
+  }
+
+  async #forward(
+    request: ForwardRequest,
+    relay: StreamRelay,
+    screen: PromptScreen,
+    signal: AbortSignal,
+  ): Promise<Result<ForwardResult, Failure>> {
+    const { context } = this.#options;
     let progress: Progress = {
       runs: 0,
       sends: 0,
@@ -92,11 +113,12 @@
       last: undefined,
       held: undefined,
     };
-    let placement = this.#findChooser(request).choose(request, progress);
+    let placement = this.#choose(request, progress, screen);
     const refusal = placement && this.#refuseUnreachableDeadline(request, placement);
     if (refusal !== undefined) {
       return err(refusal);
     }
+    const attemptSignal = screen.combine(signal);
     while (placement !== undefined && !signal.aborted) {
       const lastEventId = relay.lastEventId ?? request.lastEventId;
       const mayRunAgain =
@@ -114,13 +136,20 @@
         maxPauseMs: mayRunAgain ? findMaxPauseMs(request) : undefined,
         secureNext: () => next.secure(),
       });
-      const result = await attempt.run(signal);
+      const result = await attempt.run(attemptSignal);
+      screen.recordResult(placement.target, result, attemptSignal.aborted);
       progress = Forwarder.#recordResult(progress, placement, result, relay.hasBegun);
-      this.#log(request, placement, result, progress);
+      logAttempt(context, request, placement, result, progress.sends);
       if (!this.#mayRetry(request, progress, signal)) {
         return Forwarder.#conclude(progress, placement, signal);
       }
-      placement = next.placement ?? this.#chooseRetry(request, progress, result);
+      const held = screen.refuse();
+      if (held !== undefined) {
+        return progress.ran === 'not_run'
+          ? err(held)
+          : Forwarder.#conclude(progress, placement, signal);
+      }
+      placement = next.placement ?? this.#chooseRetry(request, progress, result, screen);
     }
     return Forwarder.#conclude(progress, placement, signal);
   }
@@ -136,10 +165,21 @@
     request: ForwardRequest,
     history: AttemptHistory,
     result: AttemptResult,
+    screen: PromptScreen,
   ): Placement | undefined {
-    return this.#spendRetry(request, result)
-      ? this.#findChooser(request).choose(request, history)
-      : undefined;
+    return this.#spendRetry(request, result) ? this.#choose(request, history, screen) : undefined;
+  }
+
+  /** Chooses a placement. The test of a held part uses one engine, since a separate prefill would be in vain. */
+  #choose(
+    request: ForwardRequest,
+    { triedIds, sends }: AttemptHistory,
+    screen: PromptScreen,
+  ): Placement | undefined {
+    return this.#findChooser(request).choose(request, {
+      triedIds,
+      sends: screen.isTrial ? Math.max(1, sends) : sends,
+    });
   }
 
   #findChooser({ prompt }: ForwardRequest): EndpointChooser {
@@ -189,36 +229,6 @@
     return wasNotRun && runs === 0 ? true : this.#mayRunAgain(request, runs);
   }
 
-  #log(
-    request: ForwardRequest,
-    placement: Placement,
-    result: AttemptResult,
-    { sends }: Progress,
-  ): void {
-    const { log, clock, metrics } = this.#options.context;
-    const fields = {
-      requestId: request.id,
-      route: request.route.name,
-      instance: placement.target.instance.id,
-      prefillInstance: placement.prefill?.instance.id,
-      prefillMs: Math.round(placement.prefillMs),
-      expectedMs: Math.round(placement.expectedMs),
-      sends,
-      tookMs: Math.round(clock.nowMs() - request.arrivedAtMs),
-    };
-    metrics.increment('attempts', {
-      service: request.service,
-      result: result.type === 'failed' ? result.failure.kind : result.type,
-    });
-    if (result.type === 'failed') {
-      const { kind, detail } = result.failure;
-      log.info({ ...fields, kind, detail, ran: result.ran }, 'attempt failed');
-    } else {
-      const status = result.type === 'held' ? result.answer.status : undefined;
-      log.info({ ...fields, status }, 'attempt answered');
-    }
-  }
-
   static #recordResult(
     progress: Progress,
     placement: Placement,
