Serve a request that arrives during a stop without waiting for another

A stopped connection reads what has arrived and then waits up to 1 s if a request is expected. The check also counted the unread body of a request that was already queued, so that its answer could be held for the second. The wait is now skipped while a request is queued. The queue is appended in place, since copying it for each request costs quadratic time when many are pipelined.

--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -47,7 +47,8 @@
 
   readonly #options: HttpConnectionOptions;
 
-  #exchanges: readonly HttpExchange[] = [];
+  /** The requests that wait to be served. */
+  readonly #exchanges: HttpExchange[] = [];
 
   #requestCount = 0;
 
@@ -97,8 +98,7 @@
     };
     const { signal } = disconnected;
     if (!this.#socket.writableEnded) {
-      const exchange = { request, response, requestId, signal, markForwarded, cut };
-      this.#exchanges = [...this.#exchanges, exchange];
+      this.#exchanges.push({ request, response, requestId, signal, markForwarded, cut });
       this.#wake?.();
     }
   }
@@ -177,9 +177,7 @@
     if (!this.#socket.writable) {
       return undefined;
     }
-    const [exchange, ...others] = this.#exchanges;
-    this.#exchanges = others;
-    return exchange;
+    return this.#exchanges.shift();
   }
 
   /** Reads what a stopped connection has received, and waits for the request that is expected. */
@@ -195,9 +193,9 @@
     return this.#exchanges.length === 0 && this.#rejection === undefined && !this.#socket.destroyed;
   }
 
-  /** Whether a request has begun to arrive, or the connection has not received any yet. */
+  /** Whether no request is queued, but one has begun to arrive or the connection has not received any yet. */
   get #isRequestExpected(): boolean {
-    return this.#requestCount === 0 || this.#trace.hasPartialRequest;
+    return this.#isWaiting && (this.#requestCount === 0 || this.#trace.hasPartialRequest);
   }
 
   /** Time until the idle limit closes the connection. Until the first request, the HTTP server limits the wait. */
