Test a blamed part in front of another soon, and tell nodes that start

In a test with three nodes, the third, started after the crashes, lost one more engine.

Cause: while nothing has been answered, a sound request with the same first part that waits on the crashed engines makes both parts explain the same crashes. Verdicts of a few ms, before the reports of other regions, interrupted requests. A node that starts knows its peers, but these read the node list once, at their own start, and open no link to it.

Requests that wait are interrupted 100 ms after the verdict, if it still holds and is sure.

--- a/packages/rhubarbcroft/src/decisions/poison/judgeParts.ts
+++ b/packages/rhubarbcroft/src/decisions/poison/judgeParts.ts
@@ -76,6 +76,12 @@
   return blamed.length > MAX_EQUAL_PARTS ? [] : blamed;
 }
 
+function findDepth({ part, crashes }: SuspectPart): number {
+  return Math.max(
+    ...crashes.flatMap(({ prompts }) => prompts.map((prompt) => prompt.indexOf(part))),
+  );
+}
+
 function createKey({ crashes }: SuspectPart): string {
   return crashes.map(({ run }) => run).join(' ');
 }
@@ -99,13 +105,16 @@
     const equal = suspects.filter(
       (suspect) => suspect.isProven === best.isProven && createKey(suspect) === createKey(best),
     );
-    chooseBlamed(equal).forEach((suspect) => {
+    const blamed = chooseBlamed(equal);
+    const depth = Math.max(...blamed.map(findDepth));
+    blamed.forEach((suspect) => {
       const { part, crashes } = suspect;
       verdicts.push({
         part,
         crashes: crashes.length,
         repeats: crashes.length - countNeeded(suspect),
         lastCrashAtMs: Math.max(...crashes.map(({ atMs }) => atMs)),
+        isUnsure: findDepth(suspect) < depth,
       });
     });
     left = left.filter((report) => !best.crashes.includes(report));
--- a/packages/rhubarbcroft/src/forwarding/QuarantineKeeper.ts
+++ b/packages/rhubarbcroft/src/forwarding/QuarantineKeeper.ts
@@ -19,6 +19,11 @@
   readonly isRefused: (address: string) => Promise<boolean>;
 }
 
+/** Enough for the crashes that led to a verdict, in a frame of a few KB. */
+const MAX_REPEATED_REPORTS = 8;
+/** By this time the reports of all nodes about one crash have arrived, also from other regions. */
+const SETTLE_MS = 100;
+
 type Interrupt = (part: string) => void;
 
 export default class QuarantineKeeper extends EvidenceExchange {
@@ -75,7 +80,7 @@
   }
 
   override listReports(): readonly CrashReport[] {
-    return this.#quarantine.listOpenReports();
+    return this.#quarantine.listOpenReports().slice(0, MAX_REPEATED_REPORTS);
   }
 
   override dumpState(): unknown {
@@ -99,13 +104,24 @@
     }
   }
 
+  /** Interrupts the requests that wait with a blamed part, once the reports of other nodes confirm the verdict. */
+  async #interruptWaiting(part: string): Promise<void> {
+    await this.#context.clock.sleep(SETTLE_MS);
+    if (this.#quarantine.isBlamedSurely(part)) {
+      this.#waiting.get(part)?.forEach((interrupt) => interrupt(part));
+    }
+  }
+
   #apply({ news, blamed, released }: QuarantineChange): void {
     const { notifyPeers, log, metrics } = this.#context;
     news.forEach((report) => notifyPeers({ type: 'crash', report }));
-    blamed.forEach(({ part, crashes }) => {
+    blamed.forEach(({ part, crashes, isUnsure }) => {
       const holdMs = Math.round(this.#quarantine.computeHoldMs(part));
-      log.warn({ part, crashes, holdMs }, 'prompt part quarantined: engines crash that answer it');
-      this.#waiting.get(part)?.forEach((interrupt) => interrupt(part));
+      log.warn(
+        { part, crashes, holdMs, isUnsure },
+        'prompt part quarantined: engines crash that answer it',
+      );
+      void this.#interruptWaiting(part);
     });
     released.forEach((part) =>
       log.info(
--- a/packages/rhubarbcroft/src/gateway/createGateway.ts
+++ b/packages/rhubarbcroft/src/gateway/createGateway.ts
@@ -244,7 +244,7 @@
         createTask: (socket) => new GossipConnection(socket, state.gossipState, log),
       }),
       notifier,
-      new EvidenceRepeater(notifier, keeper, clock),
+      new EvidenceRepeater(notifier, keeper, state.gossipState, clock),
       state.leader,
       new GossipPoller(state.gossipState, clock, log),
       new NodeAnnouncer(sources.nodes, state.gossipState, {
--- a/packages/rhubarbcroft/src/gossip/EndpointNotifier.ts
+++ b/packages/rhubarbcroft/src/gossip/EndpointNotifier.ts
@@ -22,8 +22,6 @@
 const BATCH_PERIOD_MS = 40;
 /** The number of nodes of one failure domain in the largest fleet that the system is designed for. */
 const MAX_LINKS = 24;
-/** Enough for the crashes that led to a verdict, in a frame of a few KB. */
-const MAX_REPEATED_REPORTS = 8;
 
 type WireNotices = Extract<GossipMessage, { readonly type: 'notices' }>;
 type WireDispatch = WireNotices['sends'][number];
@@ -95,7 +93,7 @@
   }
 
   #encodeKnownEvidence(): Buffer | undefined {
-    const reports = this.#evidence?.listReports().slice(0, MAX_REPEATED_REPORTS) ?? [];
+    const reports = this.#evidence?.listReports() ?? [];
     const evidence = encodeEvidence(reports, [], this.clock.nowMs());
     return reports.length === 0
       ? undefined
--- a/packages/rhubarbcroft/src/gossip/GossipSnapshot.ts
+++ b/packages/rhubarbcroft/src/gossip/GossipSnapshot.ts
@@ -5,6 +5,7 @@
 import type FeedPage from '../discovery/FeedPage.js';
 import type Instance from '../instances/Instance.js';
 import type RoutingDocument from '../routes/RoutingDocument.js';
+import type WireEvidence from './WireEvidence.js';
 
 interface GossipSnapshot {
   /** Undefined when the requester has this version or a newer one; the same holds for the instances. */
@@ -14,6 +15,8 @@
   readonly isCurrent: boolean;
   /** The addresses at which nodes accept peers, as `host:port`, the sender included. */
   readonly nodes: readonly string[];
+  /** Absent in snapshots of nodes that run an older version. */
+  readonly evidence?: WireEvidence | undefined;
 }
 
 export default GossipSnapshot;
--- a/packages/rhubarbcroft/src/gossip/GossipState.ts
+++ b/packages/rhubarbcroft/src/gossip/GossipState.ts
@@ -12,6 +12,7 @@
 import type GossipMessage from './GossipMessage.js';
 import type DispatchedPrompt from './DispatchedPrompt.js';
 import type EvidenceExchange from './EvidenceExchange.js';
+import encodeEvidence from './encodeEvidence.js';
 import parseEvidence from './parseEvidence.js';
 
 type SnapshotRequest = Extract<GossipMessage, { readonly type: 'ask' }>;
@@ -166,13 +167,15 @@
 
   /** Creates the snapshot for a requester; content that is not newer than its versions is left out. */
   createSnapshot({ routingVersion, instancesVersion }: SnapshotRequest): GossipSnapshot {
-    const { routing, registry, address } = this.#options;
+    const { routing, registry, address, clock } = this.#options;
     const { current } = routing;
+    const reports = this.#evidence?.listReports() ?? [];
     return {
       routing: routing.version > routingVersion ? current?.document : undefined,
       instances: registry.version > instancesVersion ? registry.createPage() : undefined,
       isCurrent: this.isCurrent,
       nodes: [...this.#nodes, address],
+      evidence: encodeEvidence(reports, [], clock.nowMs()),
     };
   }
 
--- a/test/poison/SimulatedFleet.ts
+++ b/test/poison/SimulatedFleet.ts
@@ -53,6 +53,7 @@
 const NODES = 6;
 const ENGINES = 8;
 const REQUESTS_PER_S = 20;
+const FIRST_PARTS = 60;
 const CONTACT_MS = 4_000;
 const DOWN_MS = 3_300;
 const CUT_NODE = 0;
@@ -137,7 +138,7 @@
     const nowMs = this.#clock.nowMs();
     const isPoisonTime = nowMs >= poisonFromMs && nowMs < poisonUntilMs;
     const isPoison = isPoisonTime && this.#random() < poisonShare;
-    const first = `first-${Math.floor(this.#random() ** 2 * 8)}`;
+    const first = `first-${Math.floor(this.#random() ** 2 * FIRST_PARTS)}`;
     const sound =
       this.#random() < 0.5 ? [first] : [first, `second-${Math.floor(this.#random() * 100)}`];
     const node = Math.floor(this.#random() * NODES);
@@ -213,7 +214,8 @@
   }
 
   #apply(node: number, { news, blamed }: QuarantineChange): void {
-    const blamedParts = new Set(blamed.map(({ part }) => part));
+    const sure = blamed.filter(({ isUnsure }) => !isUnsure);
+    const blamedParts = new Set(sure.map(({ part }) => part));
     this.#engines.forEach(({ waiting }) =>
       waiting.forEach((request) => {
         if (
--- a/test/poison/judgeParts.test.ts
+++ b/test/poison/judgeParts.test.ts
@@ -38,6 +38,10 @@
         ['a b', 'c d'],
         ['a b', 'c d'],
       ]),
+      'the deeper part, and unsurely the one in front': createReports([
+        ['a b', 'a'],
+        ['a b', 'a'],
+      ]),
       'none of many that cannot be told apart': createReports([
         ['a', 'b', 'c', 'd', 'e'],
         ['a', 'b', 'c', 'd', 'e'],
@@ -57,7 +61,9 @@
     const verdicts = Object.entries(cases).map(([name, reports]) => [
       name,
       judgeParts(reports)
-        .map(({ part, crashes }) => `${part} after ${crashes}`)
+        .map(
+          ({ part, crashes, isUnsure }) => `${part} after ${crashes}${isUnsure ? ', unsure' : ''}`,
+        )
         .join(', '),
     ]);
     expect(Object.fromEntries(verdicts)).toMatchSnapshot();
--- a/test/poison/promptParts.test.ts
+++ b/test/poison/promptParts.test.ts
@@ -30,6 +30,10 @@
       name: 'a part that was sound before',
       day: { ...DAY, poisonPrompt: ['first-0', 'second-7'], poisonPart: 'second-7' },
     },
+    {
+      name: 'a cold fleet, where nothing has been answered',
+      day: { ...DAY, poisonFromMs: 0, poisonShare: 0.3 },
+    },
     { name: 'a fifth of all requests', day: { ...DAY, poisonShare: 0.2 } },
     {
       name: 'other crashes every two seconds',
