Send a request on a new connection when a kept one closed before it was sent

What callers saw: 502, or a stream that was cut when it should have gone on, for a request that no endpoint had received.

Cause: a kept connection can close between its choice and the dispatch. The client then asks to open it again, which it does only for a request that it has not sent; the failure counted as one that may have run, and used up an attempt.

Change: the failure counts as unsent, and the attempt, or the prefill, uses a new connection to the same endpoint.

--- a/bench/removals/gatewayRemovals.ts
+++ b/bench/removals/gatewayRemovals.ts
@@ -156,6 +156,13 @@
     to: '{ peer: address, reason: String(this.#state.mergeSnapshot(snapshot)) },',
     test: 'ends no task of a node, which goes on asking its peers',
   },
+  {
+    mechanism: 'a new connection in place of a kept one that closed before the request',
+    file: 'forwarding/Attempt.ts',
+    from: 'if (connection.wasClosedUnused) {',
+    to: 'if (connection.wasClosedUnused && mayRetry && !mayRetry) {',
+    test: 'uses a new connection when a kept one closed before the request was sent',
+  },
 ];
 
 export default gatewayRemovals;
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -151,13 +151,18 @@
       secureNext,
     });
     watchdog.expect(answerTimeoutMs);
-    const connection = placement.target.pool.acquire(request.isRepeatable);
+    const { pool } = placement.target;
+    let connection = pool.acquire(request.isRepeatable);
     try {
-      const result = await this.#exchange(connection, kvSource, watchdog);
+      let result = await this.#exchange(connection, kvSource, watchdog);
+      if (connection.wasClosedUnused) {
+        connection = pool.acquire(false);
+        result = await this.#exchange(connection, kvSource, watchdog);
+      }
       if (result.type === 'failed') {
         connection.close();
       } else {
-        placement.target.pool.release(connection);
+        pool.release(connection);
       }
       return result;
     } finally {
--- a/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -122,8 +122,12 @@
     prefill: InstanceState,
     signal: AbortSignal,
   ): Promise<Result<string, AttemptFailure>> {
-    const connection = prefill.pool.acquire(true);
-    const handle = await this.#exchange(connection, prefill, signal);
+    let connection = prefill.pool.acquire(true);
+    let handle = await this.#exchange(connection, prefill, signal);
+    if (connection.wasClosedUnused) {
+      connection = prefill.pool.acquire(false);
+      handle = await this.#exchange(connection, prefill, signal);
+    }
     if (handle.isErr) {
       connection.close();
     } else {
--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -60,6 +60,9 @@
 
   #isClosed = false;
 
+  /** Whether the client tried to open the connection again, which it does only for a request that it has not sent. */
+  #wasReopened = false;
+
   /** Whether the endpoint has closed its side in order; not set when the connection fails. */
   #hasEnded = false;
 
@@ -84,6 +87,7 @@
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       connect: (options, callback) => {
         if (this.#hasStarted) {
+          this.#wasReopened = true;
           callback(new Error('the connection was closed and is not reopened'), null);
           return;
         }
@@ -98,6 +102,11 @@
     return this.#socket !== undefined && !this.#isClosed && !this.#socket.destroyed;
   }
 
+  /** Whether the connection had closed before its last request was sent, so that another one may be used instead. */
+  get wasClosedUnused(): boolean {
+    return this.#wasReopened;
+  }
+
   /** Sends a request; returns once the headers of the answer have arrived. */
   async send(
     call: EndpointCall,
@@ -130,7 +139,8 @@
       return ok({ status, rawHeaders, body, isFirst });
     } catch (error) {
       const detail = (error as Error).message;
-      return err({ kind: this.#socket === undefined ? 'unsent' : 'broken', detail });
+      const wasUnsent = this.#socket === undefined || this.#wasReopened;
+      return err({ kind: wasUnsent ? 'unsent' : 'broken', detail });
     }
   }
 
