List avoided engines as candidates when no other engine can answer

What callers saw: 503 at once, while all decode engines were avoided and a prefill engine was not.

Cause: the avoided endpoints are candidates only when all are avoided, and a prefill engine counted as one that is not, although it does not answer.

Change: the avoided engines that can answer are candidates unless another one that can answer is not avoided.

--- a/bench/removals/gatewayRemovals.ts
+++ b/bench/removals/gatewayRemovals.ts
@@ -163,6 +163,13 @@
     to: 'if (connection.wasClosedUnused && mayRetry && !mayRetry) {',
     test: 'uses a new connection when a kept one closed before the request was sent',
   },
+  {
+    mechanism: 'the avoided engines as candidates when no other can answer',
+    file: 'forwarding/listCandidates.ts',
+    from: 'return [...answering, ...active];',
+    to: 'return active;',
+    test: 'are the avoided engines too when no other engine can answer',
+  },
 ];
 
 export default gatewayRemovals;
--- a/packages/rhubarbcroft/src/forwarding/listCandidates.ts
+++ b/packages/rhubarbcroft/src/forwarding/listCandidates.ts
@@ -1,6 +1,7 @@
 /**
  * Lists the instances of a service that a request may be dispatched to: those that it has not tried yet, without
- * the ejected ones. If all of them are ejected, all are listed, since an ejection is only an estimate.
+ * the ejected ones. If all that can answer are ejected, they are listed too, since an ejection is only an estimate;
+ * prefill engines do not answer.
  */
 import type InstanceRegistry from '../instances/InstanceRegistry.js';
 import type InstanceState from '../instances/InstanceState.js';
@@ -15,5 +16,9 @@
     .listAvailable(service)
     .filter(({ instance }) => !triedIds.has(instance.id));
   const active = untried.filter(({ health }) => !health.isAvoided(nowMs));
-  return active.length > 0 ? active : untried;
+  const answering = untried.filter(({ instance }) => instance.stage !== 'prefill');
+  if (active.length === 0 || active.some((state) => answering.includes(state))) {
+    return active.length === 0 ? untried : active;
+  }
+  return [...answering, ...active];
 }
