Poll sockets before a connection counts as not established

What callers would have seen: attempts given up at endpoints that are sound, after this node was busy for longer than the time limit of a connection: the endpoint counts as unreachable here and at the peers.

Cause: timers run before sockets are polled, so the limit took effect before the node saw that it was connected.

Change: the limit takes effect after the event loop has polled the sockets.

Evidence: with a process blocked for 300 ms after its connect call and a limit of 100 ms, the request failed with "connection not established within 100 ms"; it is answered now.

--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -11,6 +11,7 @@
 import { err, ok } from 'true-myth/result';
 import type Result from 'true-myth/result';
 import type AttemptFailure from '../endpoints/AttemptFailure.js';
+import waitForEventLoop from '../supervision/waitForEventLoop.js';
 import type EndpointAnswer from './EndpointAnswer.js';
 import type EndpointCall from './EndpointCall.js';
 
@@ -193,10 +194,14 @@
     callback: (...args: [null, Socket] | [Error, null]) => void,
   ): void {
     const socket = connect({ host, port, noDelay: true });
-    const timer = setTimeout(
-      () => socket.destroy(new Error(`connection not established within ${timeoutMs} ms`)),
-      timeoutMs,
-    );
+    const timer = setTimeout(() => {
+      // Timers run before sockets are polled, so a busy node may not know yet that it is connected.
+      void waitForEventLoop().then(() => {
+        if (socket.connecting) {
+          socket.destroy(new Error(`connection not established within ${timeoutMs} ms`));
+        }
+      });
+    }, timeoutMs);
     const fail = (error: Error): void => {
       clearTimeout(timer);
       callback(error, null);
