Give up a prefill only when its target may be used without it

What callers would have seen: a refusal with 503 although the prefill of their request went on: it was given up 300 ms after another connection to its engine had failed, or for its silence, and then the retry budget did not allow the dispatch to the target.

Cause: the watchdog of a prefill took the next step as secured at all times; the budget was drawn on afterwards.

Change: giving up a prefill draws on the retry budget, and the dispatch after it does not draw again.

Evidence: with an exhausted budget the test ended with "the prefill failed and the retry budget is exhausted"; the answer is returned now. Not measured: the effect on a frozen prefill engine with an exhausted budget, whose requests now wait until the budget allows them to move (asked every 250 ms) instead of being refused at once.

--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -67,7 +67,7 @@
         ran: 'not_run',
       };
     }
-    if (prefill.mayCountAsRejected && !this.#spendRetry()) {
+    if (prefill.needsRetry && !this.#spendRetry()) {
       const detail = 'the prefill failed and the retry budget is exhausted';
       return { type: 'failed', failure: { kind: 'rejected', detail }, ran: 'not_run' };
     }
--- a/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -37,7 +37,9 @@
 
   #source: KvSource | undefined;
 
-  #mayCountAsRejected = false;
+  #needsRetry = false;
+
+  #hasSpentRetry = false;
 
   constructor(context: ForwardContext, request: ForwardRequest, placement: Placement) {
     this.#context = context;
@@ -46,11 +48,11 @@
   }
 
   /**
-   * Whether the engine may have counted the call as rejected. This includes a call that timed out, since it may
-   * still have been queued there.
+   * Whether a dispatch to the target still has to draw on the retry budget, because the engine may have counted the
+   * call as rejected. A call that was given up has drawn on it before.
    */
-  get mayCountAsRejected(): boolean {
-    return this.#mayCountAsRejected;
+  get needsRetry(): boolean {
+    return this.#needsRetry;
   }
 
   /** Runs the prefill. Returns the KV cache to continue from; undefined when the target has to prefill itself. */
@@ -74,8 +76,7 @@
     const watchdog = new ProgressWatchdog({
       request: signal,
       lost: prefill.unreachableSignal,
-      // The target can always prefill the prompt itself.
-      secureNext: () => true,
+      secureNext: () => this.#spendRetry(),
     });
     watchdog.expect(expectedMs * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS);
     const handle = await this.#call(prefill, watchdog.signal);
@@ -86,7 +87,7 @@
       prefill.discardPrefill(attemptId);
       this.#recordFailure(prefill, handle.error, signal);
       const { kind, detail } = handle.error;
-      this.#mayCountAsRejected = kind !== 'unsent';
+      this.#needsRetry = kind !== 'unsent' && !this.#hasSpentRetry;
       log.info({ requestId: id, instance: prefill.instance.id, kind, detail }, 'prefill failed');
       return undefined;
     }
@@ -206,6 +207,13 @@
     connection.close();
   }
 
+  /** The target can prefill the prompt itself, as far as the retry budget allows it to be used after a rejection. */
+  #spendRetry(): boolean {
+    const { retryBudget, clock } = this.#context;
+    this.#hasSpentRetry = retryBudget.spend(this.#request.service, clock.nowMs());
+    return this.#hasSpentRetry;
+  }
+
   #recordFailure(prefill: InstanceState, failure: AttemptFailure, signal: AbortSignal): void {
     if (signal.aborted) {
       return;
