Accept answers that never have a body

What callers would have seen: 502 for a 204, a 304 or an answer to HEAD without a length.

Cause: an answer without a length or chunks was taken for one that ends with its connection, which stays open here. Before the handling of unframed answers it was an error too.

Evidence: all three cases of the test failed with "the connection failed during an answer that ends with its connection"; they are complete now.

--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -31,6 +31,8 @@
  */
 const PAUSE_BYTES = 2 * MAX_UNREAD_BYTES;
 const FIRST_REDIRECT = 300;
+/** No Content and Not Modified: answers that never have a body. */
+const BODILESS_STATUSES = new Set([204, 304]);
 
 function listHeaderValues(rawHeaders: readonly string[], name: string): readonly string[] {
   return rawHeaders.filter(
@@ -123,7 +125,8 @@
         return err({ kind: 'broken', detail: `the answer has the transfer coding "${coding}"` });
       }
       const status = response.statusCode;
-      const body = isFramed(rawHeaders)
+      const hasNoBody = call.method === 'HEAD' || BODILESS_STATUSES.has(status);
+      const body = hasNoBody || isFramed(rawHeaders)
         ? this.#readBody(response.body)
         : this.#readUnframedBody(response.body, status);
       const isFirst = this.#answerCount === 0;
