--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -11,6 +11,7 @@
 import { err, ok } from 'true-myth/result';
 import type Result from 'true-myth/result';
 import type AttemptFailure from '../endpoints/AttemptFailure.js';
+import waitForEventLoop from '../supervision/waitForEventLoop.js';
 import type EndpointAnswer from './EndpointAnswer.js';
 import type EndpointCall from './EndpointCall.js';
 
@@ -30,6 +31,8 @@
  */
 const PAUSE_BYTES = 2 * MAX_UNREAD_BYTES;
 const FIRST_REDIRECT = 300;
+/** No Content and Not Modified: answers that never have a body. */
+const BODILESS_STATUSES = new Set([204, 304]);
 
 function listHeaderValues(rawHeaders: readonly string[], name: string): readonly string[] {
   return rawHeaders.filter(
@@ -131,7 +134,8 @@
         return err({ kind: 'broken', detail: `the answer has the transfer coding "${coding}"` });
       }
       const status = response.statusCode;
-      const body = isFramed(rawHeaders)
+      const hasNoBody = call.method === 'HEAD' || BODILESS_STATUSES.has(status);
+      const body = hasNoBody || isFramed(rawHeaders)
         ? this.#readBody(response.body)
         : this.#readUnframedBody(response.body, status);
       const isFirst = this.#answerCount === 0;
@@ -203,10 +207,14 @@
     callback: (...args: [null, Socket] | [Error, null]) => void,
   ): void {
     const socket = connect({ host, port, noDelay: true });
-    const timer = setTimeout(
-      () => socket.destroy(new Error(`connection not established within ${timeoutMs} ms`)),
-      timeoutMs,
-    );
+    const timer = setTimeout(() => {
+      // Timers run before sockets are polled, so a busy node may not know yet that it is connected.
+      void waitForEventLoop().then(() => {
+        if (socket.connecting) {
+          socket.destroy(new Error(`connection not established within ${timeoutMs} ms`));
+        }
+      });
+    }, timeoutMs);
     const fail = (error: Error): void => {
       clearTimeout(timer);
       callback(error, null);
