--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -11,6 +11,7 @@
 import { err, ok } from 'true-myth/result';
 import type Result from 'true-myth/result';
 import type AttemptFailure from '../endpoints/AttemptFailure.js';
+import waitForEventLoop from '../supervision/waitForEventLoop.js';
 import type EndpointAnswer from './EndpointAnswer.js';
 import type EndpointCall from './EndpointCall.js';
 
@@ -30,6 +31,8 @@
  */
 const PAUSE_BYTES = 2 * MAX_UNREAD_BYTES;
 const FIRST_REDIRECT = 300;
+/** No Content and Not Modified: answers that never have a body. */
+const BODILESS_STATUSES = new Set([204, 304]);
 
 function listHeaderValues(rawHeaders: readonly string[], name: string): readonly string[] {
   return rawHeaders.filter(
@@ -60,6 +63,9 @@
 
   #isClosed = false;
 
+  /** Whether the client tried to open the connection again, which it does only for a request that it has not sent. */
+  #wasReopened = false;
+
   /** Whether the endpoint has closed its side in order; not set when the connection fails. */
   #hasEnded = false;
 
@@ -84,6 +90,7 @@
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       connect: (options, callback) => {
         if (this.#hasStarted) {
+          this.#wasReopened = true;
           callback(new Error('the connection was closed and is not reopened'), null);
           return;
         }
@@ -98,6 +105,11 @@
     return this.#socket !== undefined && !this.#isClosed && !this.#socket.destroyed;
   }
 
+  /** Whether the connection had closed before its last request was sent, so that another one may be used instead. */
+  get wasClosedUnused(): boolean {
+    return this.#wasReopened;
+  }
+
   /** Sends a request; returns once the headers of the answer have arrived. */
   async send(
     call: EndpointCall,
@@ -122,7 +134,8 @@
         return err({ kind: 'broken', detail: `the answer has the transfer coding "${coding}"` });
       }
       const status = response.statusCode;
-      const body = isFramed(rawHeaders)
+      const hasNoBody = call.method === 'HEAD' || BODILESS_STATUSES.has(status);
+      const body = hasNoBody || isFramed(rawHeaders)
         ? this.#readBody(response.body)
         : this.#readUnframedBody(response.body, status);
       const isFirst = this.#answerCount === 0;
@@ -130,7 +143,8 @@
       return ok({ status, rawHeaders, body, isFirst });
     } catch (error) {
       const detail = (error as Error).message;
-      return err({ kind: this.#socket === undefined ? 'unsent' : 'broken', detail });
+      const wasUnsent = this.#socket === undefined || this.#wasReopened;
+      return err({ kind: wasUnsent ? 'unsent' : 'broken', detail });
     }
   }
 
@@ -193,10 +207,14 @@
     callback: (...args: [null, Socket] | [Error, null]) => void,
   ): void {
     const socket = connect({ host, port, noDelay: true });
-    const timer = setTimeout(
-      () => socket.destroy(new Error(`connection not established within ${timeoutMs} ms`)),
-      timeoutMs,
-    );
+    const timer = setTimeout(() => {
+      // Timers run before sockets are polled, so a busy node may not know yet that it is connected.
+      void waitForEventLoop().then(() => {
+        if (socket.connecting) {
+          socket.destroy(new Error(`connection not established within ${timeoutMs} ms`));
+        }
+      });
+    }, timeoutMs);
     const fail = (error: Error): void => {
       clearTimeout(timer);
       callback(error, null);
