--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -126,9 +126,10 @@
       }
       const status = response.statusCode;
       const hasNoBody = call.method === 'HEAD' || BODILESS_STATUSES.has(status);
-      const body = hasNoBody || isFramed(rawHeaders)
-        ? this.#readBody(response.body)
-        : this.#readUnframedBody(response.body, status);
+      const body =
+        hasNoBody || isFramed(rawHeaders)
+          ? this.#readBody(response.body)
+          : this.#readUnframedBody(response.body, status);
       const isFirst = this.#answerCount === 0;
       this.#answerCount += 1;
       return ok({ status, rawHeaders, body, isFirst });
