Blame the part furthest back among those that share their crashes

Cause: parts in front of the poisonous one that share all its crashes were held for 1 s and then until a test succeeded.

Change: among parts with the same crashes only those furthest back are blamed. If a part in front is the cause, the next crash tells.

--- a/packages/rhubarbcroft/src/decisions/poison/PartQuarantine.ts
+++ b/packages/rhubarbcroft/src/decisions/poison/PartQuarantine.ts
@@ -23,8 +23,6 @@
  * run there; a part blamed by coincidence is one that few requests use, since an answer would have cleared it.
  */
 const HOLD_MS = [15_000, 60_000, 240_000, 3_600_000] as const;
-/** The hold of a part that only shares its crashes with one further back: its test soon clears it, if it is sound. */
-const UNSURE_HOLD_MS = 1_000;
 /** How long a test is given to produce an answer or a crash before another one may start. */
 const TRIAL_MS = 3_000;
 /**
@@ -75,9 +73,8 @@
     return [...this.#verdicts.values()];
   }
 
-  /** Whether the part is blamed, and no part further back explains the same crashes. */
-  isBlamedSurely(part: string): boolean {
-    return this.#verdicts.get(part)?.isUnsure === false;
+  isBlamed(part: string): boolean {
+    return this.#verdicts.has(part);
   }
 
   /** Records a crash; `prompts` holds the parts of the requests that had produced nothing. */
@@ -184,8 +181,8 @@
       });
   }
 
-  #findHoldEndMs({ part, repeats, lastCrashAtMs, isUnsure }: PartVerdict): number {
-    const holdMs = isUnsure ? UNSURE_HOLD_MS : HOLD_MS[Math.min(repeats, HOLD_MS.length - 1)];
+  #findHoldEndMs({ part, repeats, lastCrashAtMs }: PartVerdict): number {
+    const holdMs = HOLD_MS[Math.min(repeats, HOLD_MS.length - 1)];
     return Math.max(lastCrashAtMs + holdMs, (this.#trials.get(part) ?? -Infinity) + TRIAL_MS);
   }
 
@@ -211,8 +208,7 @@
     );
     return {
       blamed: [...verdicts.values()].filter(
-        ({ part, crashes, isUnsure }) =>
-          before.get(part)?.crashes !== crashes || before.get(part)?.isUnsure !== isUnsure,
+        ({ part, crashes }) => before.get(part)?.crashes !== crashes,
       ),
       released: [...before.keys()].filter((part) => !verdicts.has(part)),
     };
--- a/packages/rhubarbcroft/src/decisions/poison/PartVerdict.ts
+++ b/packages/rhubarbcroft/src/decisions/poison/PartVerdict.ts
@@ -5,8 +5,6 @@
   /** Crashes beyond those that were needed to blame the part. */
   readonly repeats: number;
   readonly lastCrashAtMs: number;
-  /** Whether a part further back in its prompts explains the same crashes; more requests share the parts in front. */
-  readonly isUnsure: boolean;
 }
 
 export default PartVerdict;
--- a/packages/rhubarbcroft/src/forwarding/QuarantineKeeper.ts
+++ b/packages/rhubarbcroft/src/forwarding/QuarantineKeeper.ts
@@ -107,7 +107,7 @@
   /** Interrupts the requests that wait with a blamed part, once the reports of other nodes confirm the verdict. */
   async #interruptWaiting(part: string): Promise<void> {
     await this.#context.clock.sleep(SETTLE_MS);
-    if (this.#quarantine.isBlamedSurely(part)) {
+    if (this.#quarantine.isBlamed(part)) {
       this.#waiting.get(part)?.forEach((interrupt) => interrupt(part));
     }
   }
@@ -115,12 +115,9 @@
   #apply({ news, blamed, released }: QuarantineChange): void {
     const { notifyPeers, log, metrics } = this.#context;
     news.forEach((report) => notifyPeers({ type: 'crash', report }));
-    blamed.forEach(({ part, crashes, isUnsure }) => {
+    blamed.forEach(({ part, crashes }) => {
       const holdMs = Math.round(this.#quarantine.computeHoldMs(part));
-      log.warn(
-        { part, crashes, holdMs, isUnsure },
-        'prompt part quarantined: engines crash that answer it',
-      );
+      log.warn({ part, crashes, holdMs }, 'prompt part quarantined: engines crash that answer it');
       void this.#interruptWaiting(part);
     });
     released.forEach((part) =>
