--- a/bench/removals/gatewayRemovals.ts
+++ b/bench/removals/gatewayRemovals.ts
@@ -170,6 +170,34 @@
     to: 'return active;',
     test: 'are the avoided engines too when no other engine can answer',
   },
+  {
+    mechanism: 'holding a blamed prompt part',
+    file: 'decisions/poison/PartQuarantine.ts',
+    from: 'if (waits[0].retryAfterMs > 0) {',
+    to: 'if (waits[0].retryAfterMs > Infinity) {',
+    test: 'lapses after a time that grows, for the test of one request by one node',
+  },
+  {
+    mechanism: 'crashes that another part explains',
+    file: 'decisions/poison/judgeParts.ts',
+    from: 'left = left.filter((report) => !best.crashes.includes(report));',
+    to: 'left = left.filter((report) => report !== best.crashes[0]);',
+    test: 'holds the part that explains the crashes, not its companions',
+  },
+  {
+    mechanism: 'dropped crash reports stay dropped',
+    file: 'decisions/poison/PartQuarantine.ts',
+    from: 'this.#forgottenRuns.set(run, true);',
+    to: 'this.#forgottenRuns.delete(run);',
+    test: 'sends no report around again that was dropped for lack of space',
+  },
+  {
+    mechanism: 'asking the peers for crash reports after the start',
+    file: 'gossip/EvidenceRepeater.ts',
+    from: 'if (snapshot?.evidence !== undefined) {',
+    to: 'if (snapshot?.evidence === null) {',
+    test: 'costs two engines, however many nodes its requests come through',
+  },
 ];
 
 export default gatewayRemovals;
