--- a/test/poison/promptParts.test.ts
+++ b/test/poison/promptParts.test.ts
@@ -50,7 +50,7 @@
         expect(lateDispatches).to.be.at.most(MAX_LATE_DISPATCHES);
         expect(companionsBegunPercent).to.be.at.least(MIN_BEGUN_PERCENT);
       });
-      expect(outcomes).toMatchSnapshot();
+      expect(outcomes.map((outcome) => Object.entries(outcome).join('  '))).toMatchSnapshot();
     });
   });
 });
