Let the soak's relay pass on resets, and keep delayed data in order

Cause: the relay closed both sides of a connection when one was reset, so an answer that ends with its connection would have looked complete after a reset; its close overtook delayed data, and data after the end of a delay overtook the delayed data before it. Change: a reset is passed on as a reset, a close follows the data before it, and delayed data stays in order. A relay can refuse connections like a port whose process has ended, at an address of its own.

--- a/packages/standins/src/fleet/Relay.ts
+++ b/packages/standins/src/fleet/Relay.ts
@@ -1,10 +1,12 @@
 /**
  * A TCP relay between two processes of a local fleet that injects network faults: it can cut and refuse
- * connections, delay data, or silently drop the data of open connections while new ones work.
+ * connections, delay data, or silently drop the data of open connections while new ones work. It passes on
+ * whether a connection was closed or reset, since an answer may end with its connection.
  */
 import { once } from 'node:events';
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 interface RelayedConnection {
   readonly upstream: Socket;
@@ -26,20 +28,26 @@
 
   #delayMs = 0;
 
-  private constructor(targetPort: number) {
+  readonly #host: string;
+
+  #port = 0;
+
+  private constructor(targetPort: number, host: string) {
     this.#targetPort = targetPort;
+    this.#host = host;
     this.#server = createServer((downstream) => this.#accept(downstream));
   }
 
-  static async start(targetPort: number): Promise<Relay> {
-    const relay = new Relay(targetPort);
-    relay.#server.listen(0, '127.0.0.1');
+  static async start(targetPort: number, host = '127.0.0.1'): Promise<Relay> {
+    const relay = new Relay(targetPort, host);
+    relay.#server.listen(0, host);
     await once(relay.#server, 'listening');
+    relay.#port = (relay.#server.address() as AddressInfo).port;
     return relay;
   }
 
   get port(): number {
-    return (this.#server.address() as AddressInfo).port;
+    return this.#port;
   }
 
   /** Number of open connections. */
@@ -47,16 +55,25 @@
     return this.#connections.size;
   }
 
-  /** Closes every open connection and, until `restore`, each new one. */
+  /** Resets every open connection and, until `restore`, each new one. */
   cut(): void {
     this.#isRefusing = true;
-    this.#closeConnections();
+    this.#resetConnections();
+  }
+
+  /** Resets every open connection; until `restore`, the port refuses new ones, as after the process has ended. */
+  refuse(): void {
+    this.#server.close();
+    this.#resetConnections();
   }
 
   /** Accepts new connections again, and forwards without delay. */
   restore(): void {
     this.#isRefusing = false;
     this.#delayMs = 0;
+    if (!this.#server.listening) {
+      this.#server.listen(this.#port, this.#host);
+    }
   }
 
   /** Delays each chunk of data, in both directions. */
@@ -76,16 +93,16 @@
     });
   }
 
-  #closeConnections(): void {
+  #resetConnections(): void {
     this.#connections.forEach(({ upstream, downstream }) => {
-      upstream.destroy();
-      downstream.destroy();
+      upstream.resetAndDestroy();
+      downstream.resetAndDestroy();
     });
   }
 
   #accept(downstream: Socket): void {
     if (this.#isRefusing) {
-      downstream.destroy();
+      downstream.resetAndDestroy();
       return;
     }
     const upstream = connect({ host: '127.0.0.1', port: this.#targetPort });
@@ -97,21 +114,22 @@
 
   #forward(connection: RelayedConnection, from: Socket, to: Socket): void {
     this.#sockets.add(from);
+    let delivered: Promise<unknown> = Promise.resolve();
+    // Delayed data is neither overtaken by later data nor lost when the connection is closed.
+    const deliver = (action: () => void): void => {
+      const due = this.#delayMs > 0 ? sleep(this.#delayMs) : undefined;
+      delivered = Promise.all([delivered, due]).then(action);
+    };
     // An error is followed by `close`, which is handled below.
     from.on('error', () => undefined);
     from.on('data', (bytes: Buffer) => {
-      if (this.#silenced.has(connection)) {
-        return;
-      }
-      if (this.#delayMs > 0) {
-        setTimeout(() => to.write(bytes), this.#delayMs);
-      } else {
-        to.write(bytes);
+      if (!this.#silenced.has(connection)) {
+        deliver(() => to.write(bytes));
       }
     });
-    from.on('close', () => {
+    from.on('close', (hadError: boolean) => {
       if (!this.#silenced.has(connection)) {
-        to.destroy();
+        deliver(() => (hadError ? to.resetAndDestroy() : to.destroySoon()));
       }
       this.#connections.delete(connection);
       this.#sockets.delete(from);
