--- a/test/soak/AnswerRecord.ts
+++ b/test/soak/AnswerRecord.ts
@@ -3,6 +3,8 @@
   readonly requestId: string;
   readonly path: string;
   readonly node: string;
+  /** The parts of its prompt, as sent in `x-prefix-hash`. */
+  readonly parts: string;
   readonly sentAtMs: number;
   readonly endedAtMs: number;
   /** HTTP status; undefined if the connection ended before the response headers. */
@@ -13,6 +15,8 @@
   readonly body: string;
   /** Whether the body was received to its end, without a broken connection. */
   readonly isComplete: boolean;
+  /** Why the answer is not complete; undefined if it is. */
+  readonly errorCode: string | undefined;
 }
 
 export default AnswerRecord;
--- a/test/soak/faults/Fault.ts
+++ b/test/soak/faults/Fault.ts
@@ -5,6 +5,9 @@
   /** Printed in the soak's report; the first two words identify the target of the fault. */
   abstract readonly name: string;
 
+  /** Range of the time for which it lasts. */
+  readonly durationsMs: { readonly min: number; readonly max: number } = { min: 500, max: 4_500 };
+
   /**
    * Injects the fault.
    *
--- a/test/soak/faults/NodeFault.ts
+++ b/test/soak/faults/NodeFault.ts
@@ -24,12 +24,14 @@
       node.signal('SIGHUP');
       return async () => undefined;
     }
+    const endContactLoss = disturbances.begin(`${node.name} contact`);
     if (this.#action === 'stopped') {
       // A planned stop must not cut answers, so it is not recorded as a disturbance.
       const ended = node.end('SIGTERM');
       return async () => {
         await ended;
         node.start();
+        endContactLoss();
       };
     }
     const endDisturbances = [disturbances.begin(node.name), disturbances.begin('nodes')];
@@ -44,7 +46,7 @@
       } else {
         node.signal('SIGCONT');
       }
-      endDisturbances.forEach((end) => end());
+      [...endDisturbances, endContactLoss].forEach((end) => end());
     };
   }
 }
