--- a/packages/standins/src/fleet/Relay.ts
+++ b/packages/standins/src/fleet/Relay.ts
@@ -127,9 +127,14 @@
         deliver(() => to.write(bytes));
       }
     });
+    // Data and a reset that are read together end the stream without an error; the peer's address is gone then.
+    let wasReset = false;
+    from.on('end', () => {
+      wasReset = from.remoteAddress === undefined;
+    });
     from.on('close', (hadError: boolean) => {
       if (!this.#silenced.has(connection)) {
-        deliver(() => (hadError ? to.resetAndDestroy() : to.destroySoon()));
+        deliver(() => (hadError || wasReset ? to.resetAndDestroy() : to.destroySoon()));
       }
       this.#connections.delete(connection);
       this.#sockets.delete(from);
--- a/test/soak/SoakNode.ts
+++ b/test/soak/SoakNode.ts
@@ -37,6 +37,9 @@
 
   #program: Program | undefined;
 
+  /** Every program that was started, the current one last. */
+  readonly #programs: Program[] = [];
+
   /** Programs that the soak has sent a signal. */
   readonly #signalled = new WeakSet<Program>();
 
@@ -89,6 +92,7 @@
     const program = new Program({ script: SCRIPT, args: [], env });
     const startedAtMs = performance.now();
     this.#program = program;
+    this.#programs.push(program);
     void program.waitForExit().then(async () => {
       if (this.#stopping.has(program)) {
         return;
@@ -142,9 +146,9 @@
     return this.#program?.describeStatus() ?? 'never started';
   }
 
-  /** The log lines of the process about a request. */
+  /** The log lines of all its processes about a request. */
   listLogLines(requestId: string): readonly string[] {
-    const lines = this.#program?.lines ?? [];
+    const lines = this.#programs.flatMap((program) => program.lines);
     return lines.filter((line) => line.requestId === requestId).map((line) => JSON.stringify(line));
   }
 
