Take no answer as complete whose connection was reset together with its data

What callers would have seen: a truncated answer without a length as a complete success.

Cause: the runtime ends a socket like an orderly close when it reads data and a reset in one poll.

Change: the end counts only if the socket still has a peer, which a reset one has not.

The new case of test/forwarding/connection fails without the change.

--- a/bench/removals/gatewayRemovals.ts
+++ b/bench/removals/gatewayRemovals.ts
@@ -198,6 +198,13 @@
     to: 'if (snapshot?.evidence === null) {',
     test: 'costs two engines, however many nodes its requests come through',
   },
+  {
+    mechanism: 'telling a reset that is read together with data from a close',
+    file: 'instances/EndpointConnection.ts',
+    from: 'this.#hasEnded = socket.remoteAddress !== undefined;',
+    to: 'this.#hasEnded = true;',
+    test: 'returns a complete answer whatever bytes follow it, and reports a truncated one',
+  },
 ];
 
 export default gatewayRemovals;
--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -230,7 +230,8 @@
         this.#isClosed = true;
       });
       socket.once('end', () => {
-        this.#hasEnded = true;
+        // A reset that is read together with data ends the socket like a close, but the peer is gone then.
+        this.#hasEnded = socket.remoteAddress !== undefined;
       });
       this.#socket = socket;
       // Before the client's own listener, which parses what was read.
--- a/test/forwarding/connection.test.ts
+++ b/test/forwarding/connection.test.ts
@@ -70,6 +70,10 @@
       'without a length, closed in order': await exchange((socket) =>
         socket.end('HTTP/1.1 200 OK\r\n\r\nopen'),
       ),
+      'without a length, reset at once': await exchange((socket) => {
+        socket.write('HTTP/1.1 200 OK\r\n\r\nopen');
+        socket.resetAndDestroy();
+      }),
       'without a length, reset': await exchange((socket) => {
         socket.write('HTTP/1.1 200 OK\r\n\r\nopen');
         setTimeout(() => socket.resetAndDestroy(), 20);
