--- a/test/soak/SoakNode.ts
+++ b/test/soak/SoakNode.ts
@@ -37,6 +37,12 @@
 
   #program: Program | undefined;
 
+  /** Every program that was started, the current one last. */
+  readonly #programs: Program[] = [];
+
+  /** Programs that the soak has sent a signal. */
+  readonly #signalled = new WeakSet<Program>();
+
   /** Programs that the soak itself stops. */
   readonly #stopping = new WeakSet<Program>();
 
@@ -61,7 +67,7 @@
         '[zones]\na = "ra"',
         `[listen]\nfront = "${ip}:${callerPort}"\nready = "${ip}:${readyPort}"`,
         '[limits]\nmaxFds = 4100',
-        '[bounds]\ngraceS = 8\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nretryBudgetExtra = 54',
+        '[bounds]\ngraceS = 8\nretryBudgetRatio = 0.02\nbudgetWindowS = 10\nretryBudgetExtra = 6',
         `[platform]\naddress = "127.0.0.1:${storeRelay.port}"`,
       ].join('\n'),
     );
@@ -86,15 +92,16 @@
     const program = new Program({ script: SCRIPT, args: [], env });
     const startedAtMs = performance.now();
     this.#program = program;
+    this.#programs.push(program);
     void program.waitForExit().then(async () => {
       if (this.#stopping.has(program)) {
         return;
       }
       const ageMs = performance.now() - startedAtMs;
       // Before its signal handlers are installed, a signal ends the process by default; a later exit is a fault.
-      if (ageMs > SIGNAL_HANDLERS_MS) {
+      if (ageMs > SIGNAL_HANDLERS_MS || !this.#signalled.has(program)) {
         this.#unexpectedExits.push(
-          `${this.name} exited unexpectedly ${Math.round(ageMs)} ms after its start`,
+          `${this.name} exited unexpectedly ${Math.round(ageMs)} ms after its start: ${program.stderr.slice(0, 300)}`,
         );
       }
       await sleep(RESTART_DELAY_MS);
@@ -108,7 +115,10 @@
   }
 
   signal(signal: NodeJS.Signals): void {
-    this.#program?.signal(signal);
+    if (this.#program !== undefined) {
+      this.#signalled.add(this.#program);
+      this.#program.signal(signal);
+    }
   }
 
   /**
@@ -136,6 +146,12 @@
     return this.#program?.describeStatus() ?? 'never started';
   }
 
+  /** The log lines of all its processes about a request. */
+  listLogLines(requestId: string): readonly string[] {
+    const lines = this.#programs.flatMap((program) => program.lines);
+    return lines.filter((line) => line.requestId === requestId).map((line) => JSON.stringify(line));
+  }
+
   get isRunning(): boolean {
     return this.#program?.running === true;
   }
