--- a/packages/rhubarbcroft/src/forwarding/EventSequence.ts
+++ b/packages/rhubarbcroft/src/forwarding/EventSequence.ts
@@ -1,8 +1,8 @@
 /**
- * Checks that the complete events of one request's attempts form a single stream. Each line must be a field or a comment,
- * and a field that event streams don't define must stand beside one that they do, so that another answer's head or text
- * in a body is detected. Ids must not decrease, and a resumed
- * stream must go on with an event after the last one. Ids only have to increase, so a missing event is not detected.
+ * Checks that the complete events of one request's attempts form a single stream. Each line must be a field or a
+ * comment; a field that event streams don't define must stand beside one that they do. So another answer's head or text
+ * in a body is detected. Ids must not decrease, and a resumed stream must go on with an event after the last one. Ids
+ * only have to increase, so a missing event is not detected.
  */
 const FIELD_LINE = /^[\w-]*(?::|$)/;
 const DEFINED_FIELD_LINE = /^(?:data|event|id|retry)?(?::|$)/;
--- a/packages/rhubarbcroft/src/forwarding/readWholeBody.ts
+++ b/packages/rhubarbcroft/src/forwarding/readWholeBody.ts
@@ -1,4 +1,5 @@
 /** Reads an answer's body to its end. Throws when the body is truncated or larger than the limit. */
+
 /** Size limit of a buffered answer: half of what a caller may send on the users' platform. */
 const MAX_BUFFERED_BYTES = 2_097_152;
 
