--- a/review/common/standins.cjs
+++ b/review/common/standins.cjs
@@ -514,6 +514,7 @@
             status: response.statusCode,
             seal: response.headers['x-response-seal'],
             retryAfter: response.headers['retry-after'],
+            leavingAtMs: response.headers['server-leaving'] === undefined ? undefined : nowMs(),
             isComplete: response.complete,
             body: Buffer.concat(chunks).toString('latin1'),
           }),
