--- a/review/common/standins.cjs
+++ b/review/common/standins.cjs
@@ -380,6 +380,120 @@
   }
 }
 
+/** A model engine: it streams events, prefills for another engine, and changes its stage when ordered to. */
+class Engine extends Replica {
+  constructor(options) {
+    super({ service: 'tasador', workMs: 0, slots: 64, ...options });
+    this.stage = options.stage;
+    this.events = 25;
+    this.eventMs = 120;
+    /** Whether all slots are taken by the work of other machines. */
+    this.isFull = false;
+    /** Called before each event; the event is written once the returned promise resolves. */
+    this.beforeEvent = () => undefined;
+    this.handles = 0;
+  }
+
+  register(state = this.state) {
+    this.state = state;
+    this.sequence += 1;
+    return this.store.put('servers', this.id, {
+      service: this.service,
+      address: `${this.host}:${this.port}`,
+      zone: 'rosario-norte',
+      version: 'v1',
+      slots: this.slots,
+      state,
+      coldRemainingMs: 0,
+      stage: this.stage,
+      models: [{ name: 'm', version: 1, adapters: [] }],
+      sequence: this.sequence,
+      born: this.born,
+    });
+  }
+
+  async serve(request, response) {
+    const atMs = nowMs();
+    const body = await readBody(request);
+    const id = request.headers['x-request-id'];
+    const headers = { 'x-request-id': id ?? '', 'x-instance-id': this.id, ...this.extraHeaders };
+    const send = (status, document, extra = {}) => {
+      const text = document === undefined ? '' : JSON.stringify(document);
+      response.writeHead(status, {
+        ...headers,
+        'content-type': 'application/json',
+        'content-length': text.length,
+        ...extra,
+      });
+      response.end(text);
+    };
+    if (request.method === 'DELETE') {
+      send(200);
+      return;
+    }
+    const expected = request.headers['x-expect-instance'];
+    if (expected !== undefined && expected !== this.id) {
+      send(421, undefined, { 'x-not-executed': '1' });
+      return;
+    }
+    if (request.url === '/api/order') {
+      const { stage } = JSON.parse(body.toString('utf8'));
+      send(202);
+      await sleep(3_000);
+      this.stage = stage;
+      this.register();
+      return;
+    }
+    const isPrefill = request.headers['x-stage'] === 'prefill';
+    const arrival = {
+      id,
+      atMs,
+      replica: this.id,
+      kind: isPrefill ? 'prefill' : 'stream',
+      after: request.headers['last-event-id'],
+      ran: false,
+      events: 0,
+      end: 'refused',
+    };
+    this.arrivals.push(arrival);
+    this.record?.(arrival);
+    if (this.isFull) {
+      send(503, undefined, { 'x-not-executed': '1' });
+      return;
+    }
+    if (isPrefill !== (this.stage === 'prefill')) {
+      send(421, undefined, { 'x-not-executed': '1' });
+      return;
+    }
+    await sleep(40);
+    if (isPrefill) {
+      this.handles += 1;
+      arrival.end = 'prefilled';
+      send(200, { kvHandle: `${this.id}-${this.handles}`, tokens: 1_000, version: 1 });
+      return;
+    }
+    arrival.ran = true;
+    arrival.end = 'unfinished';
+    response.writeHead(200, {
+      ...headers,
+      'content-type': 'text/event-stream',
+      'x-response-seal': `seal-${id}`,
+    });
+    for (let event = Number(arrival.after ?? 0) + 1; event <= this.events; event += 1) {
+      await this.beforeEvent(event, arrival);
+      if (response.destroyed || !this.isUp) {
+        arrival.end = 'its connection was closed';
+        return;
+      }
+      response.write(`id: ${event}\ndata: token ${event}\n\n`);
+      arrival.events = event;
+      await sleep(this.eventMs);
+    }
+    arrival.end = 'answered';
+    response.end();
+  }
+}
+
 /** One machine of the system: the project's program, with its own loopback address and settings file. */
 class Machine {
   constructor({ name, ip, seeds, store, directory }) {
@@ -519,7 +633,13 @@
             body: Buffer.concat(chunks).toString('latin1'),
           }),
         );
-        response.on('error', () => finish({ status: response.statusCode, isComplete: false }));
+        response.on('error', () =>
+          finish({
+            status: response.statusCode,
+            isComplete: false,
+            body: Buffer.concat(chunks).toString('latin1'),
+          }),
+        );
       },
     );
     const timer = setTimeout(() => request.destroy(new Error('deadline')), deadlineMs + 500);
@@ -632,6 +752,7 @@
 
 module.exports = {
   BOUNDS,
+  Engine,
   METRICS_PORT,
   Machine,
   Relay,
