--- a/review/1/case.cjs
+++ b/review/1/case.cjs
@@ -11,6 +11,7 @@
   Store,
   call,
   createConfiguration,
+  logRequests,
   network,
   nowMs,
   runCase,
@@ -104,6 +105,7 @@
   isSending = false;
   await sleep(2_600);
 
+  logRequests(world, answers, replicas);
   const boundAtMs = ackAtMs + BOUNDS.drainMs;
   const sent = new Map(answers.map((answer) => [answer.id, answer]));
   const late = leaving.arrivals.filter(
--- a/review/2/case.cjs
+++ b/review/2/case.cjs
@@ -9,6 +9,7 @@
   Store,
   call,
   createConfiguration,
+  logRequests,
   network,
   nowMs,
   runCase,
@@ -37,6 +38,7 @@
   const arrivals = [];
   let incarnation = 0;
   const live = new Set();
+  const all = [];
   const begin = async (host) => {
     incarnation += 1;
     const replica = new Replica({
@@ -59,6 +61,7 @@
     };
     await replica.start(host);
     live.add(replica);
+    all.push(replica);
   };
   const crash = (replica, host, { id }) => {
     if (!replica.isUp) {
@@ -124,6 +127,7 @@
   isSending = false;
   await sleep(2_600);
 
+  logRequests(world, [...answers, ...attempts], all);
   const fromMs = (crashes[2] ?? Infinity) + BOUNDS.contactMs;
   const late = attempts.filter(
     ({ id, sentAtMs }) => sentAtMs > fromMs && deadly.some((arrival) => arrival.id === id),
--- a/review/4/case.cjs
+++ b/review/4/case.cjs
@@ -11,6 +11,7 @@
   Store,
   call,
   createConfiguration,
+  logRequests,
   network,
   nowMs,
   runCase,
@@ -104,6 +105,7 @@
   await sleep(2_600);
 
   const sent = new Map(answers.map((answer) => [answer.id, answer]));
+  logRequests(world, answers, replicas);
   const toldAtMs = new Map();
   answers
     .filter(({ leavingAtMs }) => leavingAtMs !== undefined)
--- a/review/5/case.cjs
+++ b/review/5/case.cjs
@@ -10,6 +10,7 @@
   Store,
   call,
   createConfiguration,
+  logRequests,
   network,
   nowMs,
   runCase,
@@ -112,6 +113,7 @@
   isSending = false;
   await sleep(2_600);
 
+  logRequests(world, answers, replicas);
   const fromMs = Math.max(
     ackAtMs + BOUNDS.configApplyMs,
     silentAtMs + BOUNDS.contactMs + CONTACT_MARGIN_MS,
--- a/review/common/standins.cjs
+++ b/review/common/standins.cjs
@@ -604,7 +604,15 @@
   return new Promise((resolve) => {
     const finish = (outcome) => {
       clearTimeout(timer);
-      resolve({ id, machine: machine.name, sentAtMs, tookMs: nowMs() - sentAtMs, ...outcome });
+      resolve({
+        id,
+        method,
+        target,
+        machine: machine.name,
+        sentAtMs,
+        tookMs: nowMs() - sentAtMs,
+        ...outcome,
+      });
     };
     const request = http.request(
       {
@@ -685,6 +693,28 @@
   };
 }
 
+/** Records each request that clients sent, what they got, and where it arrived, ran and ended. */
+function logRequests(world, answers, replicas) {
+  const arrivals = new Map();
+  replicas
+    .flatMap((replica) => replica.arrivals)
+    .sort((a, b) => a.atMs - b.atMs)
+    .forEach((arrival) => arrivals.set(arrival.id, [...(arrivals.get(arrival.id) ?? []), arrival]));
+  [...answers]
+    .sort((a, b) => a.sentAtMs - b.sentAtMs)
+    .forEach(({ id, method, target, machine, sentAtMs, tookMs, status, error, isComplete }) => {
+      const path = (arrivals.get(id) ?? []).map(
+        ({ replica, kind, ran, end }) =>
+          `${replica} ${kind === 'prefill' ? 'prefill, ' : ''}${ran ? 'ran, ' : ''}${end}`,
+      );
+      const outcome = `${status || error}${isComplete ? '' : ' cut'}`;
+      world.log(
+        `${id} ${method} ${target} to ${machine}: ${outcome} after ${Math.round(tookMs)} ms [${path.join('; ')}]`,
+        sentAtMs,
+      );
+    });
+}
+
 /** Runs a case: `play` gets a world and returns true if the rule held. Writes the record and ends all that it started. */
 async function runCase(directory, play) {
   const lines = [];
@@ -762,6 +792,7 @@
   createConfiguration,
   findFreePort,
   listen,
+  logRequests,
   network,
   nowMs,
   readBody,
