Detect silent store connections before the node counts as in contact

Cause: a wait for changes was held for 5 s with 1 s of margin, in any phase; the next call could take another silent connection of the pool; and each failed call counted as an absence of the store, which keeps missing entries for 2.5 s more.

Change: deriveFeedTiming derives the limits from contactMs, drainMs and configApplyMs, and a wait counts from the last answer of its feed. A failed wait is followed by a listing at once, and the store counts as away only if that fails too. PlatformClient replaces its connections after a lost answer.

--- a/bench/removals/gatewayRemovals.ts
+++ b/bench/removals/gatewayRemovals.ts
@@ -2,6 +2,27 @@
 import type Removal from './Removal.js';
 
 const gatewayRemovals: readonly Removal[] = [
+  {
+    mechanism: 'waits for changes that end before the node counts as in contact',
+    file: 'discovery/FeedReader.ts',
+    from: 'Math.max(MIN_HOLD_MS, detectMs - answerMs - elapsedMs)',
+    to: 'Math.max(5_000, detectMs - answerMs - elapsedMs)',
+    test: 'leave no node in contact without the changes that it missed',
+  },
+  {
+    mechanism: 'new connections to the store after a lost answer',
+    file: 'store/PlatformClient.ts',
+    from: 'if (pool !== this.#pool) {',
+    to: 'if (pool !== this.#pool || this.#retired.size >= 0) {',
+    test: 'cost no further call an answer',
+  },
+  {
+    mechanism: 'taking the store for away only after a listing has failed',
+    file: 'discovery/FeedReader.ts',
+    from: 'this.#recordFailure(page.error.detail, signal);\n      return false;',
+    to: 'this.#recordFailure(page.error.detail, signal);\n      this.#recordOutage(signal);\n      return false;',
+    test: 'takes the store for away only if that fails too',
+  },
   {
     mechanism: 'securing the next attempt before a silent one is given up',
     file: 'forwarding/ProgressWatchdog.ts',
--- a/packages/rhubarbcroft/src/discovery/ChangeFeed.ts
+++ b/packages/rhubarbcroft/src/discovery/ChangeFeed.ts
@@ -2,6 +2,7 @@
 import type Result from 'true-myth/result';
 import type Failure from '@rhubarbcroft/protocol/results/Failure';
 import type FeedPage from './FeedPage.js';
+import type WaitLimits from './WaitLimits.js';
 
 abstract class ChangeFeed<Value> {
   abstract readonly name: string;
@@ -12,12 +13,12 @@
   /**
    * Waits for changes after a version; the page is empty when there were none in time. Resolves with `expired`
    * when the store no longer has the history after that version, and with `unsure` when changes may have been
-   * missed; in both cases the table must be listed again. A short wait detects sooner that the store is down.
+   * missed; in both cases the table must be listed again.
    */
   abstract waitForChanges(
     afterVersion: number,
+    limits: WaitLimits,
     signal: AbortSignal,
-    wait?: 'short' | 'long',
   ): Promise<Result<FeedPage<Value> | 'expired' | 'unsure', Failure>>;
 }
 
--- a/packages/rhubarbcroft/src/discovery/FeedConsumer.ts
+++ b/packages/rhubarbcroft/src/discovery/FeedConsumer.ts
@@ -9,12 +9,12 @@
   abstract applyChanges(page: FeedPage<Value>): void;
 
   /**
-   * Called when a call of the feed fails. Until the store has been back for some time, a missing row does not mean
-   * that it was removed.
+   * Called when the store is found to be away: a listing failed. Until the store has been back for some time, a missing
+   * row does not mean that it was removed.
    */
   abstract handleOutage(): void;
 
-  /** Called when the feed answers again after a failure. */
+  /** Called when the store answers again after it was away. */
   abstract handleRecovery(): void;
 }
 
--- a/packages/rhubarbcroft/src/discovery/FeedReader.ts
+++ b/packages/rhubarbcroft/src/discovery/FeedReader.ts
@@ -1,13 +1,17 @@
 /**
- * The task that follows one table of the store: lists it, then waits for changes after the listed version. After
- * a failure it lists the table again: a listing is answered at once, so that the recovery of the store is detected
- * at once and not only with the next change. It also lists again when the store no longer has the history.
+ * The task that follows one table of the store: lists it, then waits for changes after the listed version. A wait that
+ * fails says nothing about the store, since connections may end or fall silent: the table is listed at once. The store
+ * counts as away when the listing fails too; the table is then listed until it succeeds, so that the return of the
+ * store is detected at once and not only with the next change. The table is also listed again when the store no longer
+ * has the history.
  */
 import type Logger from 'bunyan';
 import type Clock from '../supervision/Clock.js';
 import Task from '../supervision/Task.js';
 import type ChangeFeed from './ChangeFeed.js';
 import type FeedConsumer from './FeedConsumer.js';
+import type FeedTiming from './FeedTiming.js';
+import type WaitLimits from './WaitLimits.js';
 
 /**
  * The first and the longest delay after a failed call: the store limits the rate of calls and charges for each.
@@ -15,11 +19,16 @@
  */
 const RETRY_MIN_MS = 200;
 const RETRY_MAX_MS = 2_000;
-/**
- * The least time between two waits for changes, so that during a burst one call returns many changes. A change
- * that arrives a second later is still in force well within the platform's limit of 3 s.
- */
-const MIN_SPACING_MS = 1_000;
+/** The shortest wait that is worth a call. */
+const MIN_HOLD_MS = 250;
+
+interface FeedReaderOptions<Value> {
+  readonly feed: ChangeFeed<Value>;
+  readonly consumer: FeedConsumer<Value>;
+  readonly timing: FeedTiming;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
 
 export default class FeedReader<Value> extends Task {
   override readonly name: string;
@@ -28,6 +37,8 @@
 
   readonly #consumer: FeedConsumer<Value>;
 
+  readonly #timing: FeedTiming;
+
   readonly #clock: Clock;
 
   readonly #log: Logger;
@@ -36,13 +47,20 @@
 
   #lastWaitAtMs = -Infinity;
 
+  /** When the store last answered, which shows that the connection of that call worked until then. */
+  #lastAnswerAtMs = -Infinity;
+
   #failingSinceMs: number | undefined;
 
-  constructor(feed: ChangeFeed<Value>, consumer: FeedConsumer<Value>, clock: Clock, log: Logger) {
+  /** Whether a listing has failed since the store last answered. */
+  #isStoreAway = false;
+
+  constructor({ feed, consumer, timing, clock, log }: FeedReaderOptions<Value>) {
     super();
     this.name = `feed ${feed.name}`;
     this.#feed = feed;
     this.#consumer = consumer;
+    this.#timing = timing;
     this.#clock = clock;
     this.#log = log;
   }
@@ -61,7 +79,7 @@
           : await this.#waitForChanges(this.#version, signal);
       if (succeeded) {
         retryDelayMs = RETRY_MIN_MS;
-      } else {
+      } else if (this.#isStoreAway) {
         await this.#clock.sleep(retryDelayMs, signal);
         retryDelayMs = Math.min(retryDelayMs * 2, RETRY_MAX_MS);
       }
@@ -76,6 +94,7 @@
     const page = await this.#feed.list(signal);
     if (page.isErr) {
       this.#recordFailure(page.error.detail, signal);
+      this.#recordOutage(signal);
       return false;
     }
     this.#recordSuccess();
@@ -85,12 +104,12 @@
   }
 
   async #waitForChanges(version: number, signal: AbortSignal): Promise<boolean> {
-    const spacingMs = this.#lastWaitAtMs + MIN_SPACING_MS - this.#clock.nowMs();
+    const spacingMs = this.#lastWaitAtMs + this.#timing.spacingMs - this.#clock.nowMs();
     if (spacingMs > 0) {
       await this.#clock.sleep(spacingMs, signal);
     }
     this.#lastWaitAtMs = this.#clock.nowMs();
-    const page = await this.#feed.waitForChanges(version, signal);
+    const page = await this.#feed.waitForChanges(version, this.#limitWait(), signal);
     if (page.isErr) {
       this.#recordFailure(page.error.detail, signal);
       return false;
@@ -113,29 +132,55 @@
     return true;
   }
 
+  /** The limits of a wait that starts now: a connection that fell silent after the last answer is detected in time. */
+  #limitWait(): WaitLimits {
+    const { detectMs, answerMs } = this.#timing;
+    const elapsedMs = Math.max(0, this.#clock.nowMs() - this.#lastAnswerAtMs);
+    const holdMs = Math.round(Math.max(MIN_HOLD_MS, detectMs - answerMs - elapsedMs));
+    return { holdMs, timeoutMs: holdMs + answerMs };
+  }
+
   #recordFailure(reason: string, signal: AbortSignal): void {
     if (signal.aborted) {
       return;
     }
-    this.#consumer.handleOutage();
     if (this.#failingSinceMs === undefined) {
       this.#failingSinceMs = this.#clock.nowMs();
       this.#log.warn(
         { feed: this.#feed.name, version: this.#version, reason },
-        'reading the feed failed; retrying until the store answers',
+        'reading the feed failed; listing the table until the store answers',
+      );
+    }
+  }
+
+  #recordOutage(signal: AbortSignal): void {
+    if (signal.aborted) {
+      return;
+    }
+    this.#consumer.handleOutage();
+    if (!this.#isStoreAway) {
+      this.#isStoreAway = true;
+      this.#log.warn(
+        { feed: this.#feed.name, version: this.#version },
+        'a listing failed too; the store counts as away',
       );
     }
   }
 
   #recordSuccess(): void {
+    this.#lastAnswerAtMs = this.#clock.nowMs();
     if (this.#failingSinceMs !== undefined) {
       const outageMs = Math.round(this.#clock.nowMs() - this.#failingSinceMs);
       this.#failingSinceMs = undefined;
-      this.#consumer.handleRecovery();
+      const wasStoreAway = this.#isStoreAway;
       this.#log.info(
-        { feed: this.#feed.name, version: this.#version, outageMs },
+        { feed: this.#feed.name, version: this.#version, outageMs, wasStoreAway },
         'feed recovered; the store answers again',
       );
     }
+    if (this.#isStoreAway) {
+      this.#isStoreAway = false;
+      this.#consumer.handleRecovery();
+    }
   }
 }
--- a/packages/rhubarbcroft/src/gateway/GatewaySettings.ts
+++ b/packages/rhubarbcroft/src/gateway/GatewaySettings.ts
@@ -17,6 +17,12 @@
   readonly storeUrl: string;
   /** Time from the stop signal until the process is killed. */
   readonly shutdownGraceMs: number;
+  /** Time after a disturbance from which a node counts as in contact with the store. */
+  readonly contactMs: number;
+  /** Time within which a node has to stop using an instance that leaves. */
+  readonly drainMs: number;
+  /** Time within which a routing document has to be in force. */
+  readonly configApplyMs: number;
   /** Retries allowed for each request of the window. */
   readonly retryRatio: number;
   readonly retryWindowMs: number;
--- a/packages/rhubarbcroft/src/gateway/createGateway.ts
+++ b/packages/rhubarbcroft/src/gateway/createGateway.ts
@@ -14,6 +14,7 @@
 import computeTransferMsPerToken from '../decisions/placement/computeTransferMsPerToken.js';
 import FleetRetryBudget from '../decisions/retries/FleetRetryBudget.js';
 import FeedReader from '../discovery/FeedReader.js';
+import deriveFeedTiming from '../discovery/deriveFeedTiming.js';
 import FollowedFeed from '../gossip/FollowedFeed.js';
 import GossipState from '../gossip/GossipState.js';
 import GossipConnection from '../gossip/GossipConnection.js';
@@ -103,24 +104,23 @@
   gossipState.addNodes(settings.seedPeers);
   const leader = new LeaderLink(gossipState, clock, log);
   const followed = { state: gossipState, leader };
+  const reading = { timing: deriveFeedTiming(settings), clock, log };
   const readers = [
-    new FeedReader(
-      new FollowedFeed({
+    new FeedReader({
+      ...reading,
+      feed: new FollowedFeed({
         ...followed,
         feed: sources.routing,
         isBehind: () => leader.routingVersion > routing.version,
       }),
-      new RoutingConsumer(routing, log),
-      clock,
-      log,
-    ),
-    new FeedReader(
+      consumer: new RoutingConsumer(routing, log),
+    }),
+    new FeedReader({
+      ...reading,
       // The leader's pulses carry the instances themselves, so this feed never has to catch up with the leader.
-      new FollowedFeed({ ...followed, feed: sources.instances, isBehind: () => false }),
-      registry,
-      clock,
-      log,
-    ),
+      feed: new FollowedFeed({ ...followed, feed: sources.instances, isBehind: () => false }),
+      consumer: registry,
+    }),
   ] as const;
   gossipState.setFeeds(readers);
   return { routing, registry, readers, gossipState, leader };
--- a/packages/rhubarbcroft/src/gossip/FollowedFeed.ts
+++ b/packages/rhubarbcroft/src/gossip/FollowedFeed.ts
@@ -8,6 +8,7 @@
 import type Failure from '@rhubarbcroft/protocol/results/Failure';
 import ChangeFeed from '../discovery/ChangeFeed.js';
 import type FeedPage from '../discovery/FeedPage.js';
+import type WaitLimits from '../discovery/WaitLimits.js';
 import type GossipState from './GossipState.js';
 import type LeaderLink from './LeaderLink.js';
 
@@ -19,6 +20,9 @@
   readonly isBehind: () => boolean;
 }
 
+/** Followers learn of a silent connection of their leader only from the leader, and then list the table themselves. */
+const LEADER_HOLD_MS = 1_000;
+
 export default class FollowedFeed<Value> extends ChangeFeed<Value> {
   override readonly name: string;
 
@@ -36,11 +40,15 @@
 
   override async waitForChanges(
     afterVersion: number,
+    limits: WaitLimits,
     signal: AbortSignal,
   ): Promise<Result<FeedPage<Value> | 'expired' | 'unsure', Failure>> {
     const { feed, state, leader, isBehind } = this.#options;
     if (!leader.isFollowing) {
-      return feed.waitForChanges(afterVersion, signal, state.hasFollowers ? 'short' : 'long');
+      const cutMs = state.hasFollowers ? Math.max(0, limits.holdMs - LEADER_HOLD_MS) : 0;
+      const { holdMs, timeoutMs } = limits;
+      const adjusted = { holdMs: holdMs - cutMs, timeoutMs: timeoutMs - cutMs };
+      return feed.waitForChanges(afterVersion, adjusted, signal);
     }
     while (leader.isFollowing && !isBehind() && !signal.aborted) {
       await leader.waitForUpdate(signal);
--- a/packages/rhubarbcroft/src/store/PlatformClient.ts
+++ b/packages/rhubarbcroft/src/store/PlatformClient.ts
@@ -1,4 +1,7 @@
-/** Sends HTTP requests to the platform over one connection pool and returns each outcome as a `Result`. */
+/**
+ * Sends HTTP requests to the platform over one connection pool and returns each outcome as a `Result`. Connections may
+ * fall silent, several at once: after a lost answer all further requests use new ones.
+ */
 import { Pool } from 'undici';
 import { err, ok } from 'true-myth/result';
 import type Result from 'true-myth/result';
@@ -35,13 +38,19 @@
 ]);
 
 export default class PlatformClient {
-  readonly #pool: Pool;
+  readonly #url: string;
 
   readonly #timeoutMs: number;
 
+  #pool: Pool;
+
+  /** Replaced pools on which requests are still in flight. */
+  readonly #retired = new Set<Pool>();
+
   constructor(url: string, timeoutMs: number) {
-    this.#pool = new Pool(url, { connections: MAX_CONNECTIONS, connect: { timeout: timeoutMs } });
+    this.#url = url;
     this.#timeoutMs = timeoutMs;
+    this.#pool = this.#createPool();
   }
 
   /**
@@ -56,8 +65,9 @@
     const timeout = AbortSignal.timeout(options.timeoutMs ?? this.#timeoutMs);
     const signal =
       options.signal === undefined ? timeout : AbortSignal.any([timeout, options.signal]);
+    const pool = this.#pool;
     try {
-      const response = await this.#pool.request({
+      const response = await pool.request({
         ...request,
         headers: { 'content-type': 'application/json' },
         signal,
@@ -73,6 +83,9 @@
       }
       return ok({ status: statusCode, body });
     } catch (error) {
+      if (options.signal?.aborted !== true) {
+        this.#retire(pool);
+      }
       const notSent = NOT_SENT_ERRORS.has((error as NodeJS.ErrnoException).code ?? '');
       const code = notSent ? 'PLATFORM_UNAVAILABLE' : 'PLATFORM_ANSWER_LOST';
       return err(createFailure(code, `${request.path}: ${(error as Error).message}`));
@@ -80,6 +93,23 @@
   }
 
   async close(): Promise<void> {
-    await this.#pool.destroy();
+    await Promise.all([this.#pool, ...this.#retired].map((pool) => pool.destroy()));
+  }
+
+  #createPool(): Pool {
+    return new Pool(this.#url, {
+      connections: MAX_CONNECTIONS,
+      connect: { timeout: this.#timeoutMs },
+    });
+  }
+
+  /** Replaces a pool. Its idle connections are closed now, the others when their requests have ended. */
+  #retire(pool: Pool): void {
+    if (pool !== this.#pool) {
+      return;
+    }
+    this.#pool = this.#createPool();
+    this.#retired.add(pool);
+    void pool.close().finally(() => this.#retired.delete(pool));
   }
 }
--- a/test/discovery/discovery.test.ts
+++ b/test/discovery/discovery.test.ts
@@ -7,6 +7,8 @@
 import createFailure from '@rhubarbcroft/protocol/results/createFailure';
 import ChangeFeed from 'rhubarbcroft/discovery/ChangeFeed';
 import type FeedPage from 'rhubarbcroft/discovery/FeedPage';
+import deriveFeedTiming from 'rhubarbcroft/discovery/deriveFeedTiming';
+import type WaitLimits from 'rhubarbcroft/discovery/WaitLimits';
 import FeedReader from 'rhubarbcroft/discovery/FeedReader';
 import type Instance from 'rhubarbcroft/instances/Instance';
 import InstanceRegistry from 'rhubarbcroft/instances/InstanceRegistry';
@@ -16,6 +18,7 @@
 import ManualClock from '../support/ManualClock.js';
 
 const log = bunyan.createLogger({ name: 'test', streams: [] });
+const timing = deriveFeedTiming({ contactMs: 4_000, drainMs: 3_000, configApplyMs: 3_000 });
 
 function instance(id: string, options: Partial<Instance> = {}): Instance {
   return {
@@ -117,6 +120,7 @@
 
   override async waitForChanges(
     afterVersion: number,
+    _limits: WaitLimits,
     signal: AbortSignal,
   ): Promise<Result<FeedPage<string> | 'expired', Failure>> {
     return this.#next(`after ${afterVersion}`, signal);
@@ -139,10 +143,13 @@
 }
 
 describe('feed reader', () => {
-  it('lists the table again after a failure or when the store no longer has the history, and otherwise waits for changes', async () => {
+  it('lists the table at once after a failure, takes the store for away only if that fails too, and otherwise waits for changes', async () => {
     const lost = err(createFailure('PLATFORM_ANSWER_LOST', 'cut'));
     const at = (version: number): Result<FeedPage<string>, Failure> => ok({ version, rows: [] });
-    const feed = new ScriptedFeed(lost, at(5), at(6), lost, at(8), ok('expired'), at(9));
+    const feed = new ScriptedFeed(
+      ...[lost, at(5), at(6), lost, at(8), lost, lost, at(9), ok<'expired', Failure>('expired')],
+      at(10),
+    );
     const events: string[] = [];
     const consumer = {
       replaceAll: ({ version }: FeedPage<string>): unknown => events.push(`all ${version}`),
@@ -151,7 +158,7 @@
       handleRecovery: (): unknown => events.push('return'),
     };
     const stop = new AbortController();
-    const reader = new FeedReader(feed, consumer, new ManualClock(), log);
+    const reader = new FeedReader({ feed, consumer, timing, clock: new ManualClock(), log });
     const running = reader.run(stop.signal);
     await new Promise((resolve) => {
       setTimeout(resolve, 20);
@@ -172,9 +179,10 @@
     };
     const clock = new ManualClock();
     const stop = new AbortController();
-    const running = new FeedReader(new ScriptedFeed(...versions.map(at)), consumer, clock, log).run(
-      stop.signal,
-    );
+    const running = new FeedReader({
+      feed: new ScriptedFeed(...versions.map(at)),
+      ...{ consumer, timing, clock, log },
+    }).run(stop.signal);
     await new Promise((resolve) => {
       setTimeout(resolve, 20);
     });
--- a/test/discovery/oddEntries.test.ts
+++ b/test/discovery/oddEntries.test.ts
@@ -161,7 +161,7 @@
       withStore([body], async (client) => {
         const feed = new InstanceFeed(client, log);
         const signal = AbortSignal.timeout(1_000);
-        const changes = await feed.waitForChanges(1, signal);
+        const changes = await feed.waitForChanges(1, { holdMs: 100, timeoutMs: 900 }, signal);
         const nodes = await new StoreNodeList(client).read();
         return (await feed.list(signal)).isErr && changes.isErr && nodes.isErr;
       }),
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -38,7 +38,10 @@
 [limits]
 maxFds = 4100
 [bounds]
+contactMs = 4000
+drainMs = 3000
 graceS = 8
+configApplyMs = 3000
 retryBudgetRatio = 0.2
 budgetWindowS = 10
 retryBudgetExtra = 54
