Hold whole requests that crash the endpoints they run on

Cause: only shared prompt parts were suspects of a crash; a request without a prompt had none, so nothing was recorded.

Change: the key of a request, a hash of method, host, path, credentials and body, is a suspect like a part, in the same reports, verdicts, holds and tests. Parts are judged first; only what no part explains is judged by whole requests. Keys are computed only while crashes are known. A held request is refused with 503 and code 1212. PromptScreen becomes CrashScreen.

--- a/bench/removals/gatewayRemovals.ts
+++ b/bench/removals/gatewayRemovals.ts
@@ -2,6 +2,20 @@
 import type Removal from './Removal.js';
 
 const gatewayRemovals: readonly Removal[] = [
+  {
+    mechanism: 'whole requests among the suspects of a crash',
+    file: 'forwarding/CrashSuspects.ts',
+    from: 'return [...this.parts, this.requestKey];',
+    to: 'return this.parts;',
+    test: 'is held by all nodes after two crashes, if it is',
+  },
+  {
+    mechanism: 'blaming no request for what a prompt part explains',
+    file: 'decisions/poison/judgeParts.ts',
+    from: 'judge(byPart.left,',
+    to: 'judge(open,',
+    test: 'holds the part that explains the crashes, not its companions',
+  },
   {
     mechanism: 'waits for changes that end before the node counts as in contact',
     file: 'discovery/FeedReader.ts',
--- a/packages/rhubarbcroft/src/decisions/poison/PartQuarantine.ts
+++ b/packages/rhubarbcroft/src/decisions/poison/PartQuarantine.ts
@@ -1,7 +1,8 @@
 /**
- * Holds prompt parts that crash engines. The evidence is kept by crash and merged with that of the peers, so that all
- * nodes reach the same verdicts. A blamed part is held for a time that grows with its crashes; then one request of the
- * fleet tests it. An answer that begins on a part clears it of all crashes known so far, and this travels as evidence.
+ * Holds prompt parts, and whole requests, that crash endpoints. The evidence is kept by crash and merged with that of the
+ * peers, so that all nodes reach the same verdicts. What is blamed is held for a time that grows with its crashes; then
+ * one request of the fleet tests it. An answer that begins on a part or a request clears it of all crashes known so far,
+ * and this travels as evidence. The key of a request counts like a part that no other request shares.
  */
 import type Clock from '../../supervision/Clock.js';
 import type CrashReport from './CrashReport.js';
@@ -38,7 +39,10 @@
 const MAX_TRIALS = 1_024;
 
 function evictOldest(map: Map<string, unknown>, maxSize: number): void {
-  [...map.keys()].slice(0, Math.max(0, map.size - maxSize)).forEach((key) => map.delete(key));
+  const surplus = map.size - maxSize;
+  if (surplus > 0) {
+    [...map.keys()].slice(0, surplus).forEach((key) => map.delete(key));
+  }
 }
 
 function listOpenPrompts({ prompts, cleared }: CrashReport): CrashReport['prompts'] {
@@ -73,11 +77,16 @@
     return [...this.#verdicts.values()];
   }
 
+  /** Whether some report still suspects something. */
+  get hasOpenReports(): boolean {
+    return this.#openParts.size > 0;
+  }
+
   isBlamed(part: string): boolean {
     return this.#verdicts.has(part);
   }
 
-  /** Records a crash; `prompts` holds the parts of the requests that had produced nothing. */
+  /** Records a crash; `prompts` holds the parts and the keys of the requests that had produced nothing. */
   recordCrash(run: string, prompts: readonly (readonly string[])[]): QuarantineChange {
     const atMs = this.#options.clock.nowMs();
     return this.merge([{ run, atMs, prompts, provenBefore: [], cleared: [] }]);
@@ -90,6 +99,11 @@
       this.#proven.set(part, true);
     });
     evictOldest(this.#proven, MAX_PROVEN_PARTS);
+    return this.clear(parts);
+  }
+
+  /** Clears parts, or requests, of the crashes known so far. */
+  clear(parts: readonly string[]): QuarantineChange {
     const open = new Set(parts.filter((part) => this.#openParts.has(part)));
     if (open.size === 0) {
       return { news: [], blamed: [], released: [] };
--- a/packages/rhubarbcroft/src/decisions/poison/PartVerdict.ts
+++ b/packages/rhubarbcroft/src/decisions/poison/PartVerdict.ts
@@ -1,4 +1,4 @@
-/** A prompt part that is held responsible for crashes. */
+/** A prompt part, or the key of a request, that is held responsible for crashes. */
 interface PartVerdict {
   readonly part: string;
   readonly crashes: number;
--- a/packages/rhubarbcroft/src/decisions/poison/judgeParts.ts
+++ b/packages/rhubarbcroft/src/decisions/poison/judgeParts.ts
@@ -1,10 +1,12 @@
 /**
- * Decides which prompt parts are responsible for crashes. A part is blamed when no answer has begun on it since
- * several crashes that nothing else explains. Requests that ran beside a poisonous one share some of the crashes, so
- * the part with the most crashes is blamed first, and its crashes then count against no other part.
+ * Decides what is responsible for crashes. A prompt part is blamed when no answer has begun on it since several crashes
+ * that nothing else explains. Requests that ran beside a poisonous one share some of the crashes, so the part with the
+ * most crashes is blamed first, and its crashes then count against no other part. What no part explains is judged by
+ * whole requests in the same way.
  */
 import type CrashReport from './CrashReport.js';
 import type PartVerdict from './PartVerdict.js';
+import isRequestKey from './isRequestKey.js';
 
 const CRASHES_TO_BLAME = 2;
 /** Answers have begun on the part before, so that it is less likely to be poisonous. */
@@ -12,6 +14,9 @@
 /** Among more parts with the same crashes, evidence does not distinguish the cause from its companions. */
 const MAX_EQUAL_PARTS = 4;
 
+/** Which suspects of a prompt are judged. */
+type SuspectList = (prompt: readonly string[]) => readonly string[];
+
 interface SuspectPart {
   readonly part: string;
   readonly isProven: boolean;
@@ -34,13 +39,16 @@
   return prompts.some((prompt) => prompt.some((part) => !done.has(part)));
 }
 
-function collectSuspects(reports: readonly CrashReport[]): readonly SuspectPart[] {
+function collectSuspects(
+  reports: readonly CrashReport[],
+  list: SuspectList,
+): readonly SuspectPart[] {
   const suspects = new Map<string, SuspectPart>();
   reports.forEach((report) => {
     const cleared = new Set(report.cleared);
     const proven = new Set(report.provenBefore);
     const parts = new Set(
-      report.prompts.flatMap((prompt) => listSuspects(prompt, cleared, proven)),
+      report.prompts.flatMap((prompt) => listSuspects(list(prompt), cleared, proven)),
     );
     parts.forEach((part) => {
       const known = suspects.get(part);
@@ -78,11 +86,15 @@
   return crashes.map(({ run }) => run).join(' ');
 }
 
-export default function judgeParts(reports: readonly CrashReport[]): readonly PartVerdict[] {
+/** Judges one kind of suspects; returns the verdicts and the reports that they do not explain. */
+function judge(
+  reports: readonly CrashReport[],
+  list: SuspectList,
+): { readonly verdicts: readonly PartVerdict[]; readonly left: readonly CrashReport[] } {
   const verdicts: PartVerdict[] = [];
-  let left = reports.filter(hasSuspects).sort((a, b) => (a.run < b.run ? -1 : 1));
+  let left = reports;
   for (;;) {
-    const suspects = collectSuspects(left).filter(
+    const suspects = collectSuspects(left, list).filter(
       (suspect) => suspect.crashes.length >= countNeeded(suspect),
     );
     const best = suspects.toSorted(
@@ -92,7 +104,7 @@
         (createKey(a) < createKey(b) ? -1 : 1),
     )[0];
     if (best === undefined) {
-      return verdicts;
+      return { verdicts, left };
     }
     const equal = suspects.filter(
       (suspect) => suspect.isProven === best.isProven && createKey(suspect) === createKey(best),
@@ -109,3 +121,10 @@
     left = left.filter((report) => !best.crashes.includes(report));
   }
 }
+
+export default function judgeParts(reports: readonly CrashReport[]): readonly PartVerdict[] {
+  const open = reports.filter(hasSuspects).sort((a, b) => (a.run < b.run ? -1 : 1));
+  const byPart = judge(open, (prompt) => prompt.filter((suspect) => !isRequestKey(suspect)));
+  const byRequest = judge(byPart.left, (prompt) => prompt.filter(isRequestKey));
+  return [...byPart.verdicts, ...byRequest.verdicts];
+}
--- a/packages/rhubarbcroft/src/forwarding/CrashReporter.ts
+++ b/packages/rhubarbcroft/src/forwarding/CrashReporter.ts
@@ -1,6 +1,6 @@
 /**
- * Detects crashes of engines by the requests that ran there. When connections break before a first event, the
- * engine may have crashed, or only the connections may have ended: a refused new connection confirms the crash. The
+ * Detects crashes of endpoints by the requests that ran there. When connections break before a first event, the
+ * endpoint may have crashed, or only the connections may have ended: a refused new connection confirms the crash. The
  * requests that had produced nothing by then are its suspects; one that had begun to write is not.
  */
 import type InstanceState from '../instances/InstanceState.js';
@@ -19,7 +19,7 @@
   readonly hasCrashed: boolean;
 }
 
-/** The connections of a crashed engine break within this time of each other, at the nodes of its own region. */
+/** The connections of a crashed endpoint break within this time of each other, at the nodes of its own region. */
 const COLLECT_MS = 20;
 /** Requests that break later do not belong to the same event. */
 const BROKEN_RUN_MS = 1_000;
@@ -38,8 +38,8 @@
     this.#options = options;
   }
 
-  /** Records that a connection broke before the first event of a request with these parts. */
-  recordBreak(target: InstanceState, sharedParts: readonly string[]): void {
+  /** Records that a connection broke before the first event of a request with these parts and this key. */
+  recordBreak(target: InstanceState, suspects: readonly string[]): void {
     const { clock, registry } = this.#context;
     const { instance } = target;
     if (registry.find(instance.id) !== target || instance.isLeaving) {
@@ -49,13 +49,13 @@
     const run = `${instance.id}@${instance.startedAtMs}`;
     const known = this.#brokenRuns.get(run);
     if (known !== undefined && nowMs - known.sinceMs < BROKEN_RUN_MS) {
-      this.#brokenRuns.set(run, { ...known, prompts: [...known.prompts, sharedParts] });
+      this.#brokenRuns.set(run, { ...known, prompts: [...known.prompts, suspects] });
       if (known.hasCrashed) {
-        this.#report(run, [sharedParts]);
+        this.#report(run, [suspects]);
       }
       return;
     }
-    this.#brokenRuns.set(run, { sinceMs: nowMs, prompts: [sharedParts], hasCrashed: false });
+    this.#brokenRuns.set(run, { sinceMs: nowMs, prompts: [suspects], hasCrashed: false });
     void this.#confirm(run, instance.address);
   }
 
@@ -76,7 +76,7 @@
   #report(run: string, prompts: readonly (readonly string[])[]): void {
     this.#context.log.info(
       { run, suspects: prompts.length, prompts: prompts.slice(0, MAX_LOGGED_PROMPTS) },
-      'engine crashed: connections broke before a first event and new ones are refused',
+      'endpoint crashed: connections broke before a first event and new ones are refused',
     );
     this.#options.recordCrash(run, prompts);
   }
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -9,13 +9,14 @@
 import type Result from 'true-myth/result';
 import Attempt from './Attempt.js';
 import type AttemptResult from './AttemptResult.js';
+import CrashScreen from './CrashScreen.js';
+import CrashSuspects from './CrashSuspects.js';
 import type EndpointChooser from './EndpointChooser.js';
 import type ForwardContext from './ForwardContext.js';
 import type ForwardRequest from './ForwardRequest.js';
 import type BufferedAnswer from './BufferedAnswer.js';
 import NextAttempt from './NextAttempt.js';
 import type Placement from './Placement.js';
-import PromptScreen from './PromptScreen.js';
 import type QuarantineKeeper from './QuarantineKeeper.js';
 import type StreamRelay from './StreamRelay.js';
 import type AttemptHistory from './AttemptHistory.js';
@@ -88,7 +89,7 @@
   ): Promise<Result<ForwardResult, Failure>> {
     const { context, keeper } = this.#options;
     context.retryBudget.recordRequest(request.service, context.clock.nowMs());
-    const screen = new PromptScreen(keeper, request.prompt);
+    const screen = new CrashScreen(keeper, new CrashSuspects(request));
     relay.onFirstEvent(() => screen.recordAnswer());
     try {
       const held = screen.refuse();
@@ -101,7 +102,7 @@
   async #forward(
     request: ForwardRequest,
     relay: StreamRelay,
-    screen: PromptScreen,
+    screen: CrashScreen,
     signal: AbortSignal,
   ): Promise<Result<ForwardResult, Failure>> {
     const { context } = this.#options;
@@ -165,16 +166,16 @@
     request: ForwardRequest,
     history: AttemptHistory,
     result: AttemptResult,
-    screen: PromptScreen,
+    screen: CrashScreen,
   ): Placement | undefined {
     return this.#spendRetry(request, result) ? this.#choose(request, history, screen) : undefined;
   }
 
-  /** Chooses a placement. The test of a held part uses one engine, since a separate prefill would be in vain. */
+  /** Chooses a placement. A test of what was held uses one engine, since a separate prefill would be in vain. */
   #choose(
     request: ForwardRequest,
     { triedIds, sends }: AttemptHistory,
-    screen: PromptScreen,
+    screen: CrashScreen,
   ): Placement | undefined {
     return this.#findChooser(request).choose(request, {
       triedIds,
--- a/packages/rhubarbcroft/src/forwarding/QuarantineKeeper.ts
+++ b/packages/rhubarbcroft/src/forwarding/QuarantineKeeper.ts
@@ -1,8 +1,9 @@
 /**
  * The quarantine of this node: passes on what it learns to the peers, logs its verdicts, and interrupts the requests
- * that wait for a first event with a part that has just been blamed.
+ * that wait for a first event when they or one of their prompt parts have just been blamed.
  */
 import type CrashReport from '../decisions/poison/CrashReport.js';
+import isRequestKey from '../decisions/poison/isRequestKey.js';
 import PartQuarantine from '../decisions/poison/PartQuarantine.js';
 import type PartTrial from '../decisions/poison/PartTrial.js';
 import type QuarantineChange from '../decisions/poison/QuarantineChange.js';
@@ -10,6 +11,7 @@
 import EvidenceExchange from '../gossip/EvidenceExchange.js';
 import type InstanceState from '../instances/InstanceState.js';
 import CrashReporter from './CrashReporter.js';
+import type CrashSuspects from './CrashSuspects.js';
 import type ForwardContext from './ForwardContext.js';
 
 interface QuarantineKeeperOptions {
@@ -21,10 +23,15 @@
 
 /** Enough for the crashes that led to a verdict, in a frame of a few KB. */
 const MAX_REPEATED_REPORTS = 8;
+const MAX_REPEATED_PROMPTS = 64;
 /** By this time the reports of all nodes about one crash have arrived, also from other regions. */
 const SETTLE_MS = 100;
 
-type Interrupt = (part: string) => void;
+type Interrupt = (suspect: string) => void;
+
+function contains(suspects: CrashSuspects, suspect: string): boolean {
+  return isRequestKey(suspect) ? suspects.requestKey === suspect : suspects.parts.includes(suspect);
+}
 
 export default class QuarantineKeeper extends EvidenceExchange {
   readonly #context: ForwardContext;
@@ -33,8 +40,8 @@
 
   readonly #crashes: CrashReporter;
 
-  /** The requests that wait for their first event, by part. */
-  readonly #waiting = new Map<string, ReadonlySet<Interrupt>>();
+  /** The requests that wait for their first event. */
+  readonly #waiting = new Map<Interrupt, CrashSuspects>();
 
   constructor(context: ForwardContext, { countNodesAhead, isRefused }: QuarantineKeeperOptions) {
     super();
@@ -46,30 +53,34 @@
     });
   }
 
-  /** Records that a connection broke before the first event of a request with these parts. */
-  recordBreak(target: InstanceState, parts: readonly string[]): void {
-    this.#crashes.recordBreak(target, parts);
+  /** Records that a connection broke before the first event of a request. */
+  recordBreak(target: InstanceState, suspects: CrashSuspects): void {
+    this.#crashes.recordBreak(target, suspects.all);
   }
 
-  recordAnswer(parts: readonly string[]): void {
-    this.#apply(this.#quarantine.recordAnswer(parts));
+  recordAnswer(suspects: CrashSuspects): void {
+    this.#apply(this.#quarantine.recordAnswer(suspects.parts));
+    if (this.#quarantine.hasOpenReports) {
+      this.#apply(this.#quarantine.clear([suspects.requestKey]));
+    }
   }
 
   /** Decides on a request; when it is a trial, the peers are told. */
-  admit(parts: readonly string[]): QuarantineDecision {
-    const decision = this.#quarantine.admit(parts);
+  admit(suspects: CrashSuspects): QuarantineDecision {
+    if (this.#quarantine.verdicts.length === 0) {
+      return { type: 'allowed' };
+    }
+    const decision = this.#quarantine.admit(suspects.all);
     if (decision.type === 'trial') {
       decision.trials.forEach((trial) => this.#context.notifyPeers({ type: 'trial', trial }));
     }
     return decision;
   }
 
-  /** Calls `interrupt` when one of the parts is blamed, until the returned function is called. */
-  watch(parts: readonly string[], interrupt: Interrupt): () => void {
-    parts.forEach((part) => {
-      this.#waiting.set(part, new Set([...(this.#waiting.get(part) ?? []), interrupt]));
-    });
-    return () => parts.forEach((part) => this.#unwatch(part, interrupt));
+  /** Calls `interrupt` when the request or one of its parts is blamed, until the returned function is called. */
+  watch(suspects: CrashSuspects, interrupt: Interrupt): () => void {
+    this.#waiting.set(interrupt, suspects);
+    return () => this.#waiting.delete(interrupt);
   }
 
   override merge(reports: readonly CrashReport[], trials: readonly PartTrial[]): void {
@@ -80,7 +91,12 @@
   }
 
   override listReports(): readonly CrashReport[] {
-    return this.#quarantine.listOpenReports().slice(0, MAX_REPEATED_REPORTS);
+    const reports = this.#quarantine.listOpenReports().slice(0, MAX_REPEATED_REPORTS);
+    let prompts = 0;
+    return reports.filter((report) => {
+      prompts += report.prompts.length;
+      return prompts <= MAX_REPEATED_PROMPTS;
+    });
   }
 
   override dumpState(): unknown {
@@ -94,21 +110,15 @@
     };
   }
 
-  #unwatch(part: string, interrupt: Interrupt): void {
-    const left = new Set(this.#waiting.get(part));
-    left.delete(interrupt);
-    if (left.size === 0) {
-      this.#waiting.delete(part);
-    } else {
-      this.#waiting.set(part, left);
-    }
-  }
-
-  /** Interrupts the requests that wait with a blamed part, once the reports of other nodes confirm the verdict. */
-  async #interruptWaiting(part: string): Promise<void> {
+  /** Interrupts the requests that wait with a blamed suspect, once the reports of other nodes confirm the verdict. */
+  async #interruptWaiting(suspect: string): Promise<void> {
     await this.#context.clock.sleep(SETTLE_MS);
-    if (this.#quarantine.isBlamed(part)) {
-      this.#waiting.get(part)?.forEach((interrupt) => interrupt(part));
+    if (this.#quarantine.isBlamed(suspect)) {
+      this.#waiting.forEach((suspects, interrupt) => {
+        if (contains(suspects, suspect)) {
+          interrupt(suspect);
+        }
+      });
     }
   }
 
@@ -117,14 +127,11 @@
     news.forEach((report) => notifyPeers({ type: 'crash', report }));
     blamed.forEach(({ part, crashes }) => {
       const holdMs = Math.round(this.#quarantine.computeHoldMs(part));
-      log.warn({ part, crashes, holdMs }, 'prompt part quarantined: engines crash that answer it');
+      log.warn({ part, crashes, holdMs }, 'quarantined: endpoints crash that run it');
       void this.#interruptWaiting(part);
     });
     released.forEach((part) =>
-      log.info(
-        { part },
-        'prompt part released: an answer began on it, or another part crashes engines',
-      ),
+      log.info({ part }, 'released: an answer began on it, or something else crashes endpoints'),
     );
     if (blamed.length + released.length > 0) {
       metrics.gauge('quarantined_parts', this.#quarantine.verdicts.length);
--- a/test/poison/judgeParts.test.ts
+++ b/test/poison/judgeParts.test.ts
@@ -57,6 +57,23 @@
       'the part of a prompt that was never proven': createReports([['a b'], ['a b']], {
         provenBefore: ['b'],
       }),
+      'a request without parts': createReports([['request:x'], ['request:x']]),
+      'a part, and not the request that has it': createReports([
+        ['a request:x'],
+        ['a request:x', 'request:y'],
+      ]),
+      'a request whose part is cleared': createReports([['a request:x'], ['a request:x']], {
+        cleared: ['a'],
+      }),
+      'a part that was proven, with unlike requests': createReports(
+        [['a request:x'], ['a request:x'], ['a request:y']],
+        { provenBefore: ['a'] },
+      ),
+      'the request with most crashes': createReports([
+        ['request:x', 'request:y'],
+        ['request:x', 'request:y'],
+        ['request:x'],
+      ]),
     };
     const verdicts = Object.entries(cases).map(([name, reports]) => [
       name,
