Give up a silent attempt only once another endpoint has accepted

Cause: the silent attempt was aborted once another endpoint had been chosen and the budget drawn on. Whether that endpoint takes the request is known only to itself.

Change: HandOver begins the next attempt beside the silent one, and AttemptGate holds it at the head of its answer. The silent attempt ends when that head arrives, or 300 ms after the request was sent without a decline; it goes on if the other is declined, and progress cancels the other. Forwarder's state between attempts moves to files of its own.

--- a/bench/removals/gatewayRemovals.ts
+++ b/bench/removals/gatewayRemovals.ts
@@ -2,6 +2,13 @@
 import type Removal from './Removal.js';
 
 const gatewayRemovals: readonly Removal[] = [
+  {
+    mechanism: 'a silent attempt that goes on until another endpoint has accepted',
+    file: 'forwarding/HandOver.ts',
+    from: 'return standby.accepted;',
+    to: 'return true;',
+    test: 'does not cost the caller the answer of the endpoint that was silent',
+  },
   {
     mechanism: 'whole requests among the suspects of a crash',
     file: 'forwarding/CrashSuspects.ts',
@@ -40,8 +47,8 @@
   {
     mechanism: 'securing the next attempt before a silent one is given up',
     file: 'forwarding/ProgressWatchdog.ts',
-    from: 'if (this.signal.aborted || !this.#options.secureNext()) {',
-    to: 'if (this.signal.aborted) {',
+    from: 'if (isHandedOver) {',
+    to: 'if (isHandedOver || !isHandedOver) {',
     test: 'finishes all streams when more pause than the retry budget allows to move',
   },
   {
@@ -145,8 +152,8 @@
   {
     mechanism: 'no buffered answer after the head of a stream',
     file: 'forwarding/Forwarder.ts',
-    from: 'held: hasBegun ? undefined : held,',
-    to: 'held: hasBegun && held === undefined ? undefined : held,',
+    from: 'progress = { ...progress, held: undefined };',
+    to: 'progress = { ...progress };',
     test: 'goes on only with the events after its last one',
   },
   {
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -4,10 +4,10 @@
  * failure whether the request may have run.
  */
 import { randomUUID } from 'node:crypto';
-import type EndpointAnswer from '../instances/EndpointAnswer.js';
 import type EndpointConnection from '../instances/EndpointConnection.js';
 import type AttemptFailure from '../endpoints/AttemptFailure.js';
 import type AnswerMetadata from './AnswerMetadata.js';
+import type AttemptGate from './AttemptGate.js';
 import type AttemptResult from './AttemptResult.js';
 import type ForwardContext from './ForwardContext.js';
 import type ForwardRequest from './ForwardRequest.js';
@@ -16,7 +16,7 @@
 import PrefillCall from './PrefillCall.js';
 import ProgressWatchdog from './ProgressWatchdog.js';
 import type StreamRelay from './StreamRelay.js';
-import assessRefusal from './assessRefusal.js';
+import findAnswerFault from './findAnswerFault.js';
 import recordDispatch from './recordDispatch.js';
 import recordOutcome from './recordOutcome.js';
 import readWholeBody from './readWholeBody.js';
@@ -34,12 +34,18 @@
   readonly answerTimeoutMs: number | undefined;
   /** Longest pause between events with data after a stream's first one; undefined when no other attempt may follow. */
   readonly maxPauseMs: number | undefined;
-  /** Secures an attempt that follows this one; this one is given up for its silence only if that succeeds. */
-  readonly secureNext: () => boolean;
+  readonly gate: AttemptGate;
+  /** Starts an attempt that follows this one; this one is given up for its silence only if that is accepted. */
+  readonly handOver: (progress: AbortSignal) => Promise<boolean>;
 }
 
 /** Allowance for producing the first event and for the round trip to another region. */
 const FIRST_EVENT_MARGIN_MS = 120;
+/**
+ * An endpoint that has not declined a request by this time is taken to have accepted it: a refusal takes a round trip,
+ * and two endpoints may be at work on one request for less than half a second.
+ */
+const ACCEPTANCE_MS = 300;
 const STATUS_OK = 200;
 
 export default class Attempt {
@@ -143,12 +149,12 @@
   }
 
   async #dispatch(kvSource: KvSource | undefined, signal: AbortSignal): Promise<AttemptResult> {
-    const { request, placement, answerTimeoutMs, secureNext } = this.#options;
+    const { request, placement, answerTimeoutMs, handOver } = this.#options;
     const mayRetry = answerTimeoutMs !== undefined;
     const watchdog = new ProgressWatchdog({
       request: signal,
       lost: mayRetry ? placement.target.unreachableSignal : undefined,
-      secureNext,
+      handOver,
     });
     watchdog.expect(answerTimeoutMs);
     const { pool } = placement.target;
@@ -175,7 +181,7 @@
     kvSource: KvSource | undefined,
     watchdog: ProgressWatchdog,
   ): Promise<AttemptResult> {
-    const { request, placement, relay, lastEventId } = this.#options;
+    const { request, placement, relay, lastEventId, gate } = this.#options;
     const { protocol, clock } = this.#context;
     const headers = protocol.buildRequestHeaders(request.rawHeaders, {
       requestId: request.id,
@@ -188,14 +194,18 @@
       kvSource,
     });
     const { method, path, body } = request;
-    const sent = await connection.send({ method, path, headers, body }, watchdog.signal);
+    let acceptance: NodeJS.Timeout | undefined;
+    const sent = await connection.send({ method, path, headers, body }, watchdog.signal, () => {
+      acceptance = setTimeout(gate.accept, ACCEPTANCE_MS);
+    });
+    clearTimeout(acceptance);
     if (sent.isErr) {
       return this.#toFailedResult(sent.error, watchdog);
     }
     const answer = sent.value;
     const metadata = protocol.parseAnswerHead(answer.status, answer.rawHeaders);
     this.#recordAnswer(metadata);
-    const fault = this.#findAnswerFault(metadata, answer);
+    const fault = findAnswerFault(request.id, metadata, answer, relay.hasBegun);
     if (fault !== undefined) {
       return {
         type: 'failed',
@@ -203,7 +213,13 @@
         ran: fault.kind === 'rejected' ? 'not_run' : 'unknown',
       };
     }
+    gate.accept();
+    await gate.turn;
     try {
+      watchdog.signal.throwIfAborted();
+      if (this.#hasMovedOn) {
+        throw new Error('the stream went on elsewhere before this attempt could follow');
+      }
       if (request.route.kind !== 'stream' || answer.status !== STATUS_OK) {
         const completeBody = await readWholeBody(answer.body);
         return { type: 'held', answer: { ...answer, body: completeBody } };
@@ -221,6 +237,12 @@
     }
   }
 
+  /** Whether the caller has received events since this attempt was dispatched, which it would repeat. */
+  get #hasMovedOn(): boolean {
+    const { relay, request, lastEventId } = this.#options;
+    return (relay.lastEventId ?? request.lastEventId) !== lastEventId;
+  }
+
   #expectProgress(watchdog: ProgressWatchdog): void {
     const { relay, answerTimeoutMs, maxPauseMs, placement } = this.#options;
     if (relay.hasEvents) {
@@ -251,35 +273,4 @@
       target.recordLoad(metadata.load, this.#context.clock.nowMs());
     }
   }
-
-  /** Why an answer must not be relayed; undefined when it belongs to this request and is signed. */
-  #findAnswerFault(
-    metadata: AnswerMetadata,
-    { status, isFirst }: EndpointAnswer,
-  ): AttemptFailure | undefined {
-    const { request, relay } = this.#options;
-    const refusal = assessRefusal(metadata, request.id, isFirst);
-    if (refusal === 'not_run') {
-      return {
-        kind: 'rejected',
-        detail: `the endpoint declined the request with status ${status}`,
-      };
-    }
-    if (metadata.requestId !== undefined && metadata.requestId !== request.id) {
-      return { kind: 'broken', detail: `the answer belongs to request ${metadata.requestId}` };
-    }
-    if (refusal !== undefined) {
-      return { kind: 'broken', detail: 'a refusal without a request id on a reused connection' };
-    }
-    if (!metadata.isSigned) {
-      return { kind: 'broken', detail: `the answer is not signed; its status is ${status}` };
-    }
-    if (relay.hasBegun && status !== STATUS_OK) {
-      return {
-        kind: 'broken',
-        detail: `the stream was not resumed: the endpoint answered with status ${status}`,
-      };
-    }
-    return undefined;
-  }
 }
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -2,25 +2,30 @@
  * Serves one request: chooses a placement, runs one attempt at a time, and decides after each whether another
  * may follow. A request that must not be repeated is retried only after attempts that certainly did not run it.
  */
-import type RunState from '@rhubarbcroft/protocol/results/RunState';
 import type Failure from '@rhubarbcroft/protocol/results/Failure';
 import createFailure from '@rhubarbcroft/protocol/results/createFailure';
 import { err, ok } from 'true-myth/result';
 import type Result from 'true-myth/result';
 import Attempt from './Attempt.js';
+import type AttemptHistory from './AttemptHistory.js';
 import type AttemptResult from './AttemptResult.js';
+import AttemptRun from './AttemptRun.js';
 import CrashScreen from './CrashScreen.js';
 import CrashSuspects from './CrashSuspects.js';
 import type EndpointChooser from './EndpointChooser.js';
 import type ForwardContext from './ForwardContext.js';
+import type ForwardProgress from './ForwardProgress.js';
 import type ForwardRequest from './ForwardRequest.js';
-import type BufferedAnswer from './BufferedAnswer.js';
+import type ForwardResult from './ForwardResult.js';
+import HandOver from './HandOver.js';
 import NextAttempt from './NextAttempt.js';
 import type Placement from './Placement.js';
 import type QuarantineKeeper from './QuarantineKeeper.js';
 import type StreamRelay from './StreamRelay.js';
-import type AttemptHistory from './AttemptHistory.js';
+import concludeRequest from './concludeRequest.js';
 import logAttempt from './logAttempt.js';
+import recordAttemptBegin from './recordAttemptBegin.js';
+import recordAttemptEnd from './recordAttemptEnd.js';
 
 interface ForwarderOptions {
   readonly context: ForwardContext;
@@ -29,21 +34,12 @@
   readonly keeper: QuarantineKeeper;
 }
 
-/** State of a request between its attempts. */
-interface Progress extends AttemptHistory {
-  /** Number of attempts that may have run the request. */
-  readonly runs: number;
-  readonly ran: RunState;
-  readonly last: AttemptResult | undefined;
-  /** The latest buffered answer, usually an endpoint's failure; it is sent unless a later attempt gives a better one. */
-  readonly held: BufferedAnswer | undefined;
-}
-
-interface ForwardResult {
-  /** The buffered answer to send to the caller; undefined when the stream has been relayed. */
-  readonly answer: BufferedAnswer | undefined;
-  readonly sends: number;
-  readonly instanceId: string;
+/** A request while it is forwarded. */
+interface Job {
+  readonly request: ForwardRequest;
+  readonly relay: StreamRelay;
+  readonly screen: CrashScreen;
+  readonly signal: AbortSignal;
 }
 
 /** Maximum number of dispatches of one request, including those that endpoints declined. */
@@ -93,20 +89,17 @@
     relay.onFirstEvent(() => screen.recordAnswer());
     try {
       const held = screen.refuse();
-      return held === undefined ? await this.#forward(request, relay, screen, signal) : err(held);
+      return held === undefined
+        ? await this.#forward({ request, relay, screen, signal })
+        : err(held);
     } finally {
       screen.close();
     }
   }
 
-  async #forward(
-    request: ForwardRequest,
-    relay: StreamRelay,
-    screen: CrashScreen,
-    signal: AbortSignal,
-  ): Promise<Result<ForwardResult, Failure>> {
-    const { context } = this.#options;
-    let progress: Progress = {
+  async #forward(job: Job): Promise<Result<ForwardResult, Failure>> {
+    const { request, relay, screen, signal } = job;
+    let progress: ForwardProgress = {
       runs: 0,
       sends: 0,
       ran: 'not_run',
@@ -114,45 +107,91 @@
       last: undefined,
       held: undefined,
     };
-    let placement = this.#choose(request, progress, screen);
-    const refusal = placement && this.#refuseUnreachableDeadline(request, placement);
-    if (refusal !== undefined) {
-      return err(refusal);
+    const first = this.#chooseFirst(job, progress);
+    if (first.isErr) {
+      return err(first.error);
     }
-    const attemptSignal = screen.combine(signal);
-    while (placement !== undefined && !signal.aborted) {
-      const lastEventId = relay.lastEventId ?? request.lastEventId;
-      const mayRunAgain =
-        progress.sends + 1 < MAX_DISPATCHES && this.#mayRunAgain(request, progress.runs + 1);
-      const next = new NextAttempt(context, this.#findChooser(request), request, {
-        triedIds: new Set([...progress.triedIds, placement.target.instance.id]),
-        sends: progress.sends + 1,
-      });
-      const attempt = new Attempt(context, {
-        request,
-        placement,
-        relay,
-        lastEventId,
-        answerTimeoutMs: mayRunAgain ? this.#findAnswerTimeoutMs(request, placement) : undefined,
-        maxPauseMs: mayRunAgain ? findMaxPauseMs(request) : undefined,
-        secureNext: () => next.secure(),
-      });
-      const result = await attempt.run(attemptSignal);
-      screen.recordResult(placement.target, result, attemptSignal.aborted);
-      progress = Forwarder.#recordResult(progress, placement, result, relay.hasBegun);
-      logAttempt(context, request, placement, result, progress.sends);
-      if (!this.#mayRetry(request, progress, signal)) {
-        return Forwarder.#conclude(progress, placement, signal);
+    let placement = first.value;
+    let run = placement && this.#begin(job, placement, progress);
+    while (run !== undefined && !signal.aborted) {
+      placement = run.placement;
+      run.lead();
+      const result = await run.result;
+      const standby = run.handOver.take();
+      progress = [...run.handOver.ended, { placement, result }].reduce(recordAttemptEnd, progress);
+      if (relay.hasBegun) {
+        // A buffered answer of an earlier attempt can't follow the head of a stream.
+        progress = { ...progress, held: undefined };
       }
-      const held = screen.refuse();
-      if (held !== undefined) {
-        return progress.ran === 'not_run'
+      const mayRetry = this.#mayRetry(request, progress, signal);
+      const held = mayRetry ? screen.refuse() : undefined;
+      if (!mayRetry || held !== undefined) {
+        standby?.cancel('the request has ended');
+        return held !== undefined && progress.ran === 'not_run'
           ? err(held)
-          : Forwarder.#conclude(progress, placement, signal);
+          : concludeRequest(progress, placement, signal);
       }
-      placement = next.placement ?? this.#chooseRetry(request, progress, result, screen);
+      run = standby ?? this.#beginRetry(job, progress, result);
+      placement = run?.placement;
     }
-    return Forwarder.#conclude(progress, placement, signal);
+    run?.cancel('the request has ended');
+    return concludeRequest(progress, placement, signal);
+  }
+
+  /** Begins an attempt. It uses the relay only once it leads. */
+  #begin(job: Job, placement: Placement, progress: ForwardProgress): AttemptRun {
+    const { request, relay, screen } = job;
+    const mayRunAgain =
+      progress.sends + 1 < MAX_DISPATCHES && this.#mayRunAgain(request, progress.runs + 1);
+    const begun = recordAttemptBegin(progress, placement);
+    const sumUp = (ended: HandOver['ended']): ForwardProgress =>
+      ended.reduce(recordAttemptEnd, begun);
+    const next = new NextAttempt(this.#options.context, this.#findChooser(request), request);
+    const handOver = new HandOver({
+      secure: (ended) => {
+        const { runs, sends, triedIds } = sumUp(ended);
+        const mayFollow = sends < MAX_DISPATCHES && this.#mayRunAgain(request, runs);
+        return mayFollow && !screen.isTrial ? next.secure({ triedIds, sends }) : undefined;
+      },
+      begin: (following, ended) => this.#begin(job, following, sumUp(ended)),
+    });
+    const run: AttemptRun = new AttemptRun({
+      placement,
+      handOver,
+      run: async (gate, cancelled) => {
+        const signal = AbortSignal.any([screen.combine(job.signal), cancelled]);
+        const attempt = new Attempt(this.#options.context, {
+          request,
+          placement,
+          relay,
+          gate,
+          lastEventId: relay.lastEventId ?? request.lastEventId,
+          answerTimeoutMs: mayRunAgain ? this.#findAnswerTimeoutMs(request, placement) : undefined,
+          maxPauseMs: mayRunAgain ? findMaxPauseMs(request) : undefined,
+          // An attempt that does not lead yet is handed over by nobody.
+          handOver: async (silence) => run.isLeading && handOver.start(silence),
+        });
+        const result = await attempt.run(signal);
+        screen.recordResult(placement.target, result, signal.aborted);
+        logAttempt(this.#options.context, request, placement, result, progress.sends + 1);
+        return result;
+      },
+    });
+    return run;
+  }
+
+  #chooseFirst(
+    { request, screen }: Job,
+    progress: ForwardProgress,
+  ): Result<Placement | undefined, Failure> {
+    const placement = this.#choose(request, progress, screen);
+    const refusal = placement && this.#refuseUnreachableDeadline(request, placement);
+    return refusal === undefined ? ok(placement) : err(refusal);
+  }
+
+  #beginRetry(job: Job, progress: ForwardProgress, result: AttemptResult): AttemptRun | undefined {
+    const placement = this.#chooseRetry(job.request, progress, result, job.screen);
+    return placement && this.#begin(job, placement, progress);
   }
 
   /** Whether the retry budget allows another dispatch. One after an attempt that reached no endpoint is free. */
@@ -213,7 +252,7 @@
     return Math.max(route.targetLatencyMs * factor, placement.expectedMs * LATE_ANSWER_FACTOR);
   }
 
-  #mayRetry(request: ForwardRequest, progress: Progress, signal: AbortSignal): boolean {
+  #mayRetry(request: ForwardRequest, progress: ForwardProgress, signal: AbortSignal): boolean {
     const { last, runs, sends } = progress;
     if (
       signal.aborted ||
@@ -229,53 +268,4 @@
     const wasNotRun = last.type === 'failed' && last.ran === 'not_run';
     return wasNotRun && runs === 0 ? true : this.#mayRunAgain(request, runs);
   }
-
-  static #recordResult(
-    progress: Progress,
-    placement: Placement,
-    result: AttemptResult,
-    hasBegun: boolean,
-  ): Progress {
-    const mayHaveRun = result.type !== 'failed' || result.ran !== 'not_run';
-    const held = result.type === 'held' ? result.answer : progress.held;
-    return {
-      runs: progress.runs + (mayHaveRun ? 1 : 0),
-      sends: progress.sends + 1,
-      ran: mayHaveRun ? 'unknown' : progress.ran,
-      triedIds: new Set([...progress.triedIds, placement.target.instance.id]),
-      last: result,
-      // A buffered answer of an earlier attempt can't follow the head of a stream.
-      held: hasBegun ? undefined : held,
-    };
-  }
-
-  static #conclude(
-    { last, held, sends, ran }: Progress,
-    placement: Placement | undefined,
-    signal: AbortSignal,
-  ): Result<ForwardResult, Failure> {
-    const instanceId = placement?.target.instance.id ?? '';
-    if (last?.type === 'streamed') {
-      return ok({ answer: undefined, sends, instanceId });
-    }
-    if (held !== undefined) {
-      return ok({ answer: held, sends, instanceId });
-    }
-    if (last === undefined || last.type === 'held') {
-      return err(
-        createFailure(
-          'NO_ENDPOINT',
-          'no endpoint of the service is available',
-          'not_run',
-          RETRY_AFTER_MS,
-        ),
-      );
-    }
-    const { detail } = last.failure;
-    if (ran === 'not_run') {
-      return err(createFailure('NO_ENDPOINT', detail, 'not_run', RETRY_AFTER_MS));
-    }
-    const code = signal.aborted ? 'DEADLINE_EXCEEDED' : 'ENDPOINT_FAILED';
-    return err(createFailure(code, detail, 'unknown'));
-  }
 }
--- a/packages/rhubarbcroft/src/forwarding/NextAttempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/NextAttempt.ts
@@ -1,6 +1,6 @@
 /**
- * Secures the attempt that follows a running one, before that one is given up: its endpoint and its share of the
- * retry budget. An attempt that is given up first would leave its caller without an answer if no other can follow.
+ * Secures the endpoint of the attempt that follows a silent one, and its share of the retry budget. Without both, the
+ * silent attempt is not handed over.
  */
 import type AttemptHistory from './AttemptHistory.js';
 import type EndpointChooser from './EndpointChooser.js';
@@ -15,59 +15,45 @@
 
   readonly #request: ForwardRequest;
 
-  /** What will have been tried once the running attempt has ended. */
-  readonly #history: AttemptHistory;
-
-  #placement: Placement | undefined;
-
   #hasDeclined = false;
 
-  constructor(
-    context: ForwardContext,
-    chooser: EndpointChooser,
-    request: ForwardRequest,
-    history: AttemptHistory,
-  ) {
+  constructor(context: ForwardContext, chooser: EndpointChooser, request: ForwardRequest) {
     this.#context = context;
     this.#chooser = chooser;
     this.#request = request;
-    this.#history = history;
-  }
-
-  /** The placement that was secured; undefined when none was. */
-  get placement(): Placement | undefined {
-    return this.#placement;
   }
 
-  /** Secures an attempt that can be expected to answer in time; returns whether there is one. */
-  secure(): boolean {
+  /**
+   * Secures an attempt that can be expected to answer in time; undefined if there is none. The history holds what will
+   * have been tried once the running attempt has ended.
+   */
+  secure(history: AttemptHistory): Placement | undefined {
     const { clock, retryBudget } = this.#context;
     const nowMs = clock.nowMs();
-    const placement = this.#chooser.choose(this.#request, this.#history);
+    const placement = this.#chooser.choose(this.#request, history);
     if (placement === undefined || placement.target.health.isAvoided(nowMs)) {
-      return this.#decline('no other endpoint is available');
+      return this.#decline(history, 'no other endpoint is available');
     }
     if (placement.expectedMs > this.#request.expiresAtMs - nowMs) {
-      return this.#decline('no other endpoint can answer before the deadline');
+      return this.#decline(history, 'no other endpoint can answer before the deadline');
     }
     if (!retryBudget.spend(this.#request.service, nowMs)) {
-      return this.#decline('the retry budget is exhausted');
+      return this.#decline(history, 'the retry budget is exhausted');
     }
-    this.#placement = placement;
-    return true;
+    return placement;
   }
 
   /** Logs the first reason only: an attempt that goes on asks again. */
-  #decline(reason: string): false {
+  #decline({ sends }: AttemptHistory, reason: string): undefined {
     if (!this.#hasDeclined) {
       this.#hasDeclined = true;
       const { log, metrics } = this.#context;
       metrics.increment('attempts_kept', { service: this.#request.service });
       log.info(
-        { requestId: this.#request.id, sends: this.#history.sends, reason },
+        { requestId: this.#request.id, sends, reason },
         'endpoint is silent or unreachable; its attempt goes on since no other can follow',
       );
     }
-    return false;
+    return undefined;
   }
 }
--- a/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -76,7 +76,7 @@
     const watchdog = new ProgressWatchdog({
       request: signal,
       lost: prefill.unreachableSignal,
-      secureNext: () => this.#spendRetry(),
+      handOver: async () => this.#spendRetry(),
     });
     watchdog.expect(expectedMs * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS);
     const handle = await this.#call(prefill, watchdog.signal);
--- a/packages/rhubarbcroft/src/forwarding/ProgressWatchdog.ts
+++ b/packages/rhubarbcroft/src/forwarding/ProgressWatchdog.ts
@@ -1,7 +1,7 @@
 /**
  * Aborts an attempt when it makes no progress within its time limit, which becomes short when its endpoint seems
- * unreachable, provided that another attempt is secured to follow; a sound endpoint may be silent for a while. Aborts
- * it in any case when the request itself is aborted.
+ * unreachable, provided that another attempt has taken over; a sound endpoint may be silent for a while. Aborts it in
+ * any case when the request itself is aborted.
  */
 import waitForEventLoop from '../supervision/waitForEventLoop.js';
 
@@ -10,8 +10,11 @@
   readonly request: AbortSignal;
   /** Aborts when the endpoint becomes unreachable; the attempt then has to show progress soon. */
   readonly lost?: AbortSignal | undefined;
-  /** Secures an attempt that follows this one; returns false if none can follow, so that this one goes on. */
-  readonly secureNext: () => boolean;
+  /**
+   * Starts an attempt that follows this one. Resolves with false if none can follow, so that this one goes on. The
+   * signal aborts when this attempt makes progress meanwhile.
+   */
+  readonly handOver: (progress: AbortSignal) => Promise<boolean>;
 }
 
 /** The interval at which another attempt is looked for after the time limit has passed. */
@@ -26,6 +29,9 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  /** Aborts when progress is made while another attempt is started. */
+  #progress = new AbortController();
+
   #wasSilent = false;
 
   readonly #handleOuterAbort = (): void => this.#controller.abort(this.#options.request.reason);
@@ -59,6 +65,7 @@
   /** Restarts the timer: progress is expected within this time, in milliseconds; undefined sets no limit. */
   expect(withinMs: number | undefined): void {
     this.#stopTimer();
+    this.#progress.abort();
     if (withinMs !== undefined) {
       this.#startTimer(withinMs, `no data was received for ${Math.round(withinMs)} ms`);
     }
@@ -86,18 +93,20 @@
   async #handleTimeout(timer: NodeJS.Timeout, reason: string): Promise<void> {
     // Timers run before sockets are read, so a busy node may not have read yet what has arrived.
     await waitForEventLoop();
-    if (this.#timer === timer && !this.#giveUp(new Error(reason))) {
-      this.#startTimer(RETRY_PERIOD_MS, reason);
+    if (this.#timer !== timer || this.signal.aborted) {
+      return;
     }
-  }
-
-  /** Aborts the attempt if another one can follow; returns whether it did. */
-  #giveUp(reason: Error): boolean {
-    if (this.signal.aborted || !this.#options.secureNext()) {
-      return false;
+    const progress = new AbortController();
+    this.#progress = progress;
+    const isHandedOver = await this.#options.handOver(progress.signal);
+    if (this.#timer !== timer || this.signal.aborted) {
+      return;
+    }
+    if (isHandedOver) {
+      this.#wasSilent = true;
+      this.#controller.abort(new Error(reason));
+    } else {
+      this.#startTimer(RETRY_PERIOD_MS, reason);
     }
-    this.#wasSilent = true;
-    this.#controller.abort(reason);
-    return true;
   }
 }
--- a/packages/rhubarbcroft/src/instances/EndpointConnection.ts
+++ b/packages/rhubarbcroft/src/instances/EndpointConnection.ts
@@ -77,6 +77,9 @@
   /** Bytes of the current answer's body that were returned. */
   #bodyBytes = 0;
 
+  /** Called once the request of a new connection is sent. */
+  #handleConnected: () => void = () => undefined;
+
   /** The current answer's body. */
   #body: Dispatcher.ResponseData['body'] | undefined;
 
@@ -110,12 +113,17 @@
     return this.#wasReopened;
   }
 
-  /** Sends a request; returns once the headers of the answer have arrived. */
+  /** Sends a request; returns once the headers of the answer have arrived. `onSent` is called when it is being sent. */
   async send(
     call: EndpointCall,
     signal: AbortSignal,
+    onSent: () => void = () => undefined,
   ): Promise<Result<EndpointAnswer, AttemptFailure>> {
     this.#startByteCount();
+    this.#handleConnected = onSent;
+    if (this.isOpen) {
+      onSent();
+    }
     try {
       const response = await this.#client.request({
         method: call.method,
@@ -237,6 +245,7 @@
       // Before the client's own listener, which parses what was read.
       socket.on('readable', () => this.#checkOverhead(socket));
       callback(null, socket);
+      this.#handleConnected();
     });
   }
 }
--- a/test/forwarding/attempt.test.ts
+++ b/test/forwarding/attempt.test.ts
@@ -8,6 +8,7 @@
 import StreamRelay from 'rhubarbcroft/forwarding/StreamRelay';
 import InstanceState from 'rhubarbcroft/instances/InstanceState';
 import ManualClock from '../support/ManualClock.js';
+import OPEN_GATE from '../support/OPEN_GATE.js';
 import createForwardContext from '../support/createForwardContext.js';
 import createForwardRequest from '../support/createForwardRequest.js';
 
@@ -57,7 +58,8 @@
         lastEventId: undefined,
         answerTimeoutMs: 400,
         maxPauseMs: 400,
-        secureNext: () => true,
+        gate: OPEN_GATE,
+        handOver: async () => true,
       }).run(caller.signal);
     }
     return { rests: target.health.isAvoided(clock.nowMs()), lost: lost.aborted };
@@ -94,7 +96,8 @@
       lastEventId: undefined,
       answerTimeoutMs: 400,
       maxPauseMs: 400,
-      secureNext: () => true,
+      gate: OPEN_GATE,
+      handOver: async () => true,
     }).run(new AbortController().signal);
     expect([result.type, target.health.isAvoided(clock.nowMs())]).to.deep.equal(['held', false]);
   });
--- a/test/silence/falseSilence.test.ts
+++ b/test/silence/falseSilence.test.ts
@@ -12,6 +12,7 @@
 import StreamRelay from 'rhubarbcroft/forwarding/StreamRelay';
 import InstanceState from 'rhubarbcroft/instances/InstanceState';
 import SystemClock from 'rhubarbcroft/supervision/SystemClock';
+import OPEN_GATE from '../support/OPEN_GATE.js';
 import createForwardContext from '../support/createForwardContext.js';
 import createForwardRequest from '../support/createForwardRequest.js';
 import sleep from '../support/sleep.js';
@@ -58,7 +59,8 @@
       lastEventId: undefined,
       answerTimeoutMs: 200,
       maxPauseMs: 200,
-      secureNext: () => {
+      gate: OPEN_GATE,
+      handOver: async () => {
         isGivenUp = true;
         return true;
       },
@@ -79,7 +81,7 @@
     await once(socket, 'connect');
     const watchdog = new ProgressWatchdog({
       request: new AbortController().signal,
-      secureNext: () => true,
+      handOver: async () => true,
     });
     socket.once('data', () => watchdog.expect(undefined));
     watchdog.expect(200);
@@ -97,7 +99,7 @@
         const watchdog = new ProgressWatchdog({
           request: new AbortController().signal,
           lost: lost.signal,
-          secureNext: () => true,
+          handOver: async () => true,
         });
         watchdog.expect(5_000);
         lost.abort(new Error('connection failed'));
--- a/test/silence/nextAttempt.test.ts
+++ b/test/silence/nextAttempt.test.ts
@@ -44,8 +44,8 @@
   const request = createForwardRequest({ expiresAtMs: clock.nowMs() + 1_000 });
   const history = { triedIds: new Set<string>(), sends: 1 };
   return Array.from({ length: 5 }, () =>
-    new NextAttempt(context, { choose: () => placement }, request, history).secure(),
-  ).filter((isSecured) => isSecured).length;
+    new NextAttempt(context, { choose: () => placement }, request).secure(history),
+  ).filter((secured) => secured !== undefined).length;
 }
 
 describe('the attempt that may follow a silent one', () => {
--- a/test/silence/soundPrefill.test.ts
+++ b/test/silence/soundPrefill.test.ts
@@ -9,6 +9,7 @@
 import InstanceState from 'rhubarbcroft/instances/InstanceState';
 import FleetRetryBudget from 'rhubarbcroft/decisions/retries/FleetRetryBudget';
 import SystemClock from 'rhubarbcroft/supervision/SystemClock';
+import OPEN_GATE from '../support/OPEN_GATE.js';
 import createForwardContext from '../support/createForwardContext.js';
 import createForwardRequest from '../support/createForwardRequest.js';
 import sleep from '../support/sleep.js';
@@ -83,7 +84,8 @@
       lastEventId: undefined,
       answerTimeoutMs: 1_000,
       maxPauseMs: 1_000,
-      secureNext: () => true,
+      gate: OPEN_GATE,
+      handOver: async () => true,
     }).run(new AbortController().signal);
     expect(result.type === 'failed' ? result.failure : result.type).to.equal('held');
   });
