Read the announcement of leaving in the answers of endpoints

Cause: no answer was searched for the header; only the entry in the store told of leaving, and the machine could not read it.

Change: parseAnswerHead decodes it, and recordAnswerHead records it for runs, refusals, prefills, released handles and orders. It holds for the rest of the run (LeavingRuns), whatever older entries say; a new run is not affected.

--- a/bench/removals/gatewayRemovals.ts
+++ b/bench/removals/gatewayRemovals.ts
@@ -2,6 +2,20 @@
 import type Removal from './Removal.js';
 
 const gatewayRemovals: readonly Removal[] = [
+  {
+    mechanism: 'announcements of leaving in answers',
+    file: 'forwarding/recordAnswerHead.ts',
+    from: 'if (isLeaving) {',
+    to: 'if (isLeaving && nowMs < 0) {',
+    test: 'keep all later requests away, whether they answer a run, a refusal or a prefill',
+  },
+  {
+    mechanism: 'announcements that hold for the rest of a run',
+    file: 'instances/InstanceRegistry.ts',
+    from: 'if (this.#leavingRuns.has(instance)) {',
+    to: 'if (this.#leavingRuns.has(instance) && version < 0) {',
+    test: 'gets no request for the rest of its run, whatever its entry says',
+  },
   {
     mechanism: 'a silent attempt that goes on until another endpoint has accepted',
     file: 'forwarding/HandOver.ts',
--- a/packages/rhubarbcroft/src/forwarding/AnswerMetadata.ts
+++ b/packages/rhubarbcroft/src/forwarding/AnswerMetadata.ts
@@ -10,6 +10,8 @@
   readonly isDeclined: boolean;
   /** The endpoint's load report; undefined when the answer carries none. */
   readonly load: InstanceLoad | undefined;
+  /** Whether the endpoint announces that it is leaving, which it does in all its answers. */
+  readonly isLeaving: boolean;
 }
 
 export default AnswerMetadata;
--- a/packages/rhubarbcroft/src/forwarding/Attempt.ts
+++ b/packages/rhubarbcroft/src/forwarding/Attempt.ts
@@ -6,7 +6,6 @@
 import { randomUUID } from 'node:crypto';
 import type EndpointConnection from '../instances/EndpointConnection.js';
 import type AttemptFailure from '../endpoints/AttemptFailure.js';
-import type AnswerMetadata from './AnswerMetadata.js';
 import type AttemptGate from './AttemptGate.js';
 import type AttemptResult from './AttemptResult.js';
 import type ForwardContext from './ForwardContext.js';
@@ -17,6 +16,7 @@
 import ProgressWatchdog from './ProgressWatchdog.js';
 import type StreamRelay from './StreamRelay.js';
 import findAnswerFault from './findAnswerFault.js';
+import recordAnswerHead from './recordAnswerHead.js';
 import recordDispatch from './recordDispatch.js';
 import recordOutcome from './recordOutcome.js';
 import readWholeBody from './readWholeBody.js';
@@ -204,7 +204,7 @@
     }
     const answer = sent.value;
     const metadata = protocol.parseAnswerHead(answer.status, answer.rawHeaders);
-    this.#recordAnswer(metadata);
+    recordAnswerHead(this.#context, placement.target, metadata);
     const fault = findAnswerFault(request.id, metadata, answer, relay.hasBegun);
     if (fault !== undefined) {
       return {
@@ -265,12 +265,4 @@
     const { target, copyFrom } = this.#options.placement;
     return kvSource === undefined && copyFrom !== target ? copyFrom?.instance.address : undefined;
   }
-
-  #recordAnswer(metadata: AnswerMetadata): void {
-    const { target } = this.#options.placement;
-    target.health.recordAnswerStart(this.#context.clock.nowMs());
-    if (metadata.load !== undefined) {
-      target.recordLoad(metadata.load, this.#context.clock.nowMs());
-    }
-  }
 }
--- a/packages/rhubarbcroft/src/forwarding/CrashReporter.ts
+++ b/packages/rhubarbcroft/src/forwarding/CrashReporter.ts
@@ -42,7 +42,7 @@
   recordBreak(target: InstanceState, suspects: readonly string[]): void {
     const { clock, registry } = this.#context;
     const { instance } = target;
-    if (registry.find(instance.id) !== target || instance.isLeaving) {
+    if (registry.find(instance.id) !== target || target.isLeaving) {
       return;
     }
     const nowMs = clock.nowMs();
--- a/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
+++ b/packages/rhubarbcroft/src/forwarding/PrefillCall.ts
@@ -15,6 +15,7 @@
 import type Placement from './Placement.js';
 import ProgressWatchdog from './ProgressWatchdog.js';
 import assessRefusal from './assessRefusal.js';
+import recordAnswerHead from './recordAnswerHead.js';
 import recordDispatch from './recordDispatch.js';
 import recordUnreachable from './recordUnreachable.js';
 import readWholeBody from './readWholeBody.js';
@@ -160,10 +161,7 @@
     }
     const { status, rawHeaders: answerHeaders, body: answerBody, isFirst } = sent.value;
     const metadata = protocol.parseAnswerHead(status, answerHeaders);
-    prefill.health.recordAnswerStart(clock.nowMs());
-    if (metadata.load !== undefined) {
-      prefill.recordLoad(metadata.load, clock.nowMs());
-    }
+    recordAnswerHead(this.#context, prefill, metadata);
     const refusal = assessRefusal(metadata, id, isFirst);
     if (refusal === 'not_run') {
       return err({
@@ -207,6 +205,9 @@
         { requestId: this.#request.id, ...source, detail },
         'KV cache handle not released; the engine expires it',
       );
+    } else {
+      const { status, rawHeaders } = sent.value;
+      recordAnswerHead(this.#context, prefill, protocol.parseAnswerHead(status, rawHeaders));
     }
     connection.close();
   }
--- a/packages/rhubarbcroft/src/instances/InstanceRegistry.ts
+++ b/packages/rhubarbcroft/src/instances/InstanceRegistry.ts
@@ -5,6 +5,8 @@
  * is ignored. An entry that disappears during an outage of the store, or shortly after it, may still be alive,
  * because entries expire when they cannot be renewed; it is removed if it is still missing after a grace
  * period. Any other removal takes effect immediately. An entry that cannot be used counts as removed.
+ *
+ * An instance may also announce in an answer that it leaves, which holds for the rest of its run.
  */
 import type Logger from 'bunyan';
 import type FeedPage from '../discovery/FeedPage.js';
@@ -13,6 +15,7 @@
 import type Clock from '../supervision/Clock.js';
 import type Instance from './Instance.js';
 import InstanceState from './InstanceState.js';
+import LeavingRuns from './LeavingRuns.js';
 import findInstanceFault from './findInstanceFault.js';
 
 interface InstanceRegistryOptions {
@@ -39,6 +42,8 @@
 
   readonly #entries = new Map<string, Entry>();
 
+  readonly #leavingRuns = new LeavingRuns();
+
   #version = 0;
 
   #revision = 0;
@@ -113,14 +118,27 @@
     this.#removeMissing();
     return [...this.#entries.values()]
       .map(({ state }) => state)
-      .filter(({ instance }) => instance.service === service && !instance.isLeaving);
+      .filter(({ instance, isLeaving }) => instance.service === service && !isLeaving);
   }
 
   /** Lists the leaving instances of a service: they accept no new requests, but still have their KV caches. */
   listLeaving(service: string): readonly InstanceState[] {
     return [...this.#entries.values()]
       .map(({ state }) => state)
-      .filter(({ instance }) => instance.service === service && instance.isLeaving);
+      .filter(({ instance, isLeaving }) => instance.service === service && isLeaving);
+  }
+
+  /** Records that an instance announced in an answer that it leaves. */
+  recordLeaving(state: InstanceState): void {
+    const { instance, isLeaving } = state;
+    this.#leavingRuns.add(instance);
+    state.announceLeaving();
+    if (!isLeaving) {
+      this.#options.log.info(
+        { instance: instance.id, startedAtMs: instance.startedAtMs },
+        'instance announces in its answers that it leaves; it gets no new requests',
+      );
+    }
   }
 
   find(id: string): InstanceState | undefined {
@@ -182,6 +200,9 @@
     const engine = routing.current?.findService(instance.service)?.engine;
     const kvCapacityTokens = engine?.kvCapacityTokens ?? DEFAULT_KV_CAPACITY_TOKENS;
     const state = new InstanceState(instance, { connectTimeoutMs, kvCapacityTokens });
+    if (this.#leavingRuns.has(instance)) {
+      state.announceLeaving();
+    }
     this.#entries.set(id, { state, version, missingSinceMs: undefined });
     this.#revision += 1;
     const { address, service, domain, stage } = instance;
--- a/packages/rhubarbcroft/src/instances/InstanceState.ts
+++ b/packages/rhubarbcroft/src/instances/InstanceState.ts
@@ -30,6 +30,8 @@
 
   #instance: Instance;
 
+  #hasAnnouncedLeaving = false;
+
   #inFlight = 0;
 
   #unreachable = new AbortController();
@@ -51,6 +53,16 @@
     return this.#instance;
   }
 
+  /** Whether its registration or one of its answers says that it leaves, so that it gets no new requests. */
+  get isLeaving(): boolean {
+    return this.#instance.isLeaving || this.#hasAnnouncedLeaving;
+  }
+
+  /** Records that the instance announced in an answer that it leaves. */
+  announceLeaving(): void {
+    this.#hasAnnouncedLeaving = true;
+  }
+
   /** Aborts when the instance becomes unreachable, so that its waiting attempts fail immediately. */
   get unreachableSignal(): AbortSignal {
     return this.#unreachable.signal;
@@ -128,8 +140,9 @@
   }
 
   dumpState(): unknown {
-    const { id, service, address, domain, stage, isLeaving } = this.#instance;
-    return { id, service, address, domain, stage, isLeaving, inFlight: this.#inFlight };
+    const { id, service, address, domain, stage } = this.#instance;
+    const { isLeaving, inFlight } = this;
+    return { id, service, address, domain, stage, isLeaving, inFlight };
   }
 
   #computeReportWeight(nowMs: number): number {
--- a/packages/rhubarbcroft/src/stages/StageController.ts
+++ b/packages/rhubarbcroft/src/stages/StageController.ts
@@ -8,6 +8,7 @@
 import chooseOwner from '../decisions/chooseOwner.js';
 import PrefillSharePlanner from '../decisions/roles/PrefillSharePlanner.js';
 import type EndpointProtocol from '../forwarding/EndpointProtocol.js';
+import recordAnswerHead from '../forwarding/recordAnswerHead.js';
 import type InstanceRegistry from '../instances/InstanceRegistry.js';
 import type InstanceState from '../instances/InstanceState.js';
 import type CurrentRouting from '../routes/CurrentRouting.js';
@@ -122,7 +123,8 @@
     if (sent.isErr) {
       return `${sent.error.kind}: ${sent.error.detail}`;
     }
-    const { status } = sent.value;
+    const { status, rawHeaders } = sent.value;
+    recordAnswerHead(this.#options, state, protocol.parseAnswerHead(status, rawHeaders));
     return status === STATUS_OK || status === STATUS_ACCEPTED ? 'accepted' : `status ${status}`;
   }
 
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -167,6 +167,7 @@
       readAnswer(503, 'X-Not-Executed', '1'),
       readAnswer(421, 'X-Instance-Id', 'i'),
       readAnswer(503),
+      readAnswer(503, 'X-Not-Executed', '1', 'Server-Leaving', '1'),
     ]).toMatchSnapshot();
   });
 });
--- a/test/platform/standins/PlatformFixture.ts
+++ b/test/platform/standins/PlatformFixture.ts
@@ -67,7 +67,7 @@
   /** Restores the default behaviour of all replicas and clears their recorded requests. */
   async reset(): Promise<void> {
     this.replicas.forEach((replica) => {
-      Object.assign(replica, { behaviour: ReplicaStandin.answer });
+      Object.assign(replica, { behaviour: ReplicaStandin.answer, isLeaving: false });
       replica.arrivals.splice(0);
       replica.released.splice(0);
     });
--- a/test/platform/standins/ReplicaStandin.ts
+++ b/test/platform/standins/ReplicaStandin.ts
@@ -23,6 +23,9 @@
 
   behaviour: Behaviour = ReplicaStandin.answer;
 
+  /** Whether all answers announce that the replica leaves. */
+  isLeaving = false;
+
   readonly #server: Server;
 
   constructor(id: string, service: string, stage?: 'prefill' | 'decode') {
@@ -73,6 +76,9 @@
       chunks.push(chunk as Buffer);
     }
     const path = request.url ?? '/';
+    if (this.isLeaving) {
+      response.setHeader('server-leaving', '1');
+    }
     if (request.method === 'DELETE' && path.startsWith('/api/kv-handle/')) {
       this.released.push(path.slice('/api/kv-handle/'.length));
       response.end();
