Refuse what can't end before a planned stop does, and answer what is open

Cause: only the entry point knew of the grace period, and ended the process at its end; no decision on a request knew when that would be.

Change: deriveStopTimes has the steps of a stop. StopAdmission takes a request if its time limit lies before the end, or if it is early and the longest of its route lately would end in time; others get 503, not run, at once. The time of what is taken ends with the stop.

--- a/bench/removals/gatewayRemovals.ts
+++ b/bench/removals/gatewayRemovals.ts
@@ -2,6 +2,20 @@
 import type Removal from './Removal.js';
 
 const gatewayRemovals: readonly Removal[] = [
+  {
+    mechanism: 'refusing what can not end before a planned stop does',
+    file: 'decisions/shutdown/StopAdmission.ts',
+    from: 'return isEarly && nowMs + usualMs <= this.endsAtMs;',
+    to: 'return isEarly || nowMs + usualMs > 0;',
+    test: 'is refused as not run if it may last longer',
+  },
+  {
+    mechanism: 'answers to the requests that are open when a planned stop ends',
+    file: 'forwarding/ForwardingFrontEnd.ts',
+    from: 'Math.min(expiresAtMs, stopAdmission.endsAtMs)',
+    to: 'Math.max(expiresAtMs, 0)',
+    test: 'is refused as not run if it may last longer',
+  },
   {
     mechanism: 'announcements of leaving in answers',
     file: 'forwarding/recordAnswerHead.ts',
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -115,6 +115,7 @@
     let run = placement && this.#begin(job, placement, progress);
     while (run !== undefined && !signal.aborted) {
       placement = run.placement;
+      relay.instanceId = placement.target.instance.id;
       run.lead();
       const result = await run.result;
       const standby = run.handOver.take();
--- a/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
+++ b/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
@@ -14,10 +14,13 @@
 import type HttpExchange from '../callers/HttpExchange.js';
 import HttpExchangeServer from '../callers/HttpExchangeServer.js';
 import readBody from '../callers/readBody.js';
+import type StopAdmission from '../decisions/shutdown/StopAdmission.js';
+import UsualDurations from '../decisions/shutdown/UsualDurations.js';
 import type Route from '../routes/Route.js';
 import type ForwardContext from './ForwardContext.js';
 import type ForwardRequest from './ForwardRequest.js';
 import type Forwarder from './Forwarder.js';
+import type OpenRequests from './OpenRequests.js';
 import type BufferedAnswer from './BufferedAnswer.js';
 import StreamRelay from './StreamRelay.js';
 import copyAnswerHeaders from './copyAnswerHeaders.js';
@@ -26,6 +29,8 @@
   readonly context: ForwardContext;
   readonly forwarder: Forwarder;
   readonly random: RandomGenerator;
+  readonly stopAdmission: StopAdmission;
+  readonly openRequests: OpenRequests;
   /** Aborts when the node starts to shut down: responses then close their connections. */
   readonly shutdown: AbortSignal;
 }
@@ -34,6 +39,8 @@
 const BODY_TIMEOUT_MS = 10_000;
 /** Retry-After of a node that has not received its first routing document. */
 const STARTING_RETRY_AFTER_MS = 500;
+/** Retry-After of a node that is being stopped: callers retry on a new connection, which reaches another node. */
+const STOPPING_RETRY_AFTER_MS = 50;
 const MS_PER_S = 1_000;
 /**
  * Statuses that callers read as a guarantee that the request has not run. An endpoint's answer with one of them
@@ -44,6 +51,8 @@
 export default class ForwardingFrontEnd extends HttpExchangeServer {
   readonly #options: ForwardingFrontEndOptions;
 
+  readonly #durations = new UsualDurations();
+
   constructor(options: ForwardingFrontEndOptions) {
     super();
     this.#options = options;
@@ -82,6 +91,19 @@
     const { response, signal } = exchange;
     const relay = new StreamRelay(response);
     const controller = new AbortController();
+    const close = this.#options.openRequests.add({
+      id: request.id,
+      arrivedAtMs: request.arrivedAtMs,
+      describe: () => ({
+        phase: relay.hasBegun ? 'streaming' : 'waiting',
+        instance: relay.instanceId,
+      }),
+      end: (reason) => {
+        if (!relay.hasBegun) {
+          controller.abort(new Error(reason));
+        }
+      },
+    });
     const cancel = (): void => controller.abort(new Error('the caller disconnected'));
     const timer = setTimeout(
       () => controller.abort(new Error('the deadline of the request has passed')),
@@ -91,6 +113,7 @@
     this.#closeAfterResponse(response);
     exchange.markForwarded();
     const served = await forwarder.forward(request, relay, controller.signal);
+    close();
     clearTimeout(timer);
     signal.removeEventListener('abort', cancel);
     if (signal.aborted) {
@@ -99,6 +122,9 @@
       return;
     }
     this.#countRequest(request, served.isErr ? 'failed' : 'answered');
+    if (served.isOk) {
+      this.#durations.record(request.route.name, context.clock.nowMs() - request.arrivedAtMs);
+    }
     if (served.isErr) {
       this.#refuse(exchange, served.error, request.arrivedAtMs, relay);
     } else if (served.value.answer === undefined) {
@@ -149,7 +175,21 @@
         ),
       );
     }
-    return this.#createRequest(request, route, body.value, arrivedAtMs);
+    return this.#createRequest(request, route, body.value, arrivedAtMs).andThen((created) =>
+      this.#admit(created),
+    );
+  }
+
+  /** Refuses a request that can't end before the process exits, and bounds its time by the end of a planned stop. */
+  #admit(request: ForwardRequest): Result<ForwardRequest, Failure> {
+    const { stopAdmission, context } = this.#options;
+    const { expiresAtMs, route } = request;
+    const usualMs = this.#durations.findLongestMs(route.name);
+    if (!stopAdmission.admits({ expiresAtMs, usualMs }, context.clock.nowMs())) {
+      const detail = 'the node is being stopped before the request would surely have ended';
+      return err(createFailure('SHUTTING_DOWN', detail, 'not_run', STOPPING_RETRY_AFTER_MS));
+    }
+    return ok({ ...request, expiresAtMs: Math.min(expiresAtMs, stopAdmission.endsAtMs) });
   }
 
   #createRequest(
--- a/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
+++ b/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
@@ -31,6 +31,9 @@
 
   #eventBytes = 0;
 
+  /** The instance of the attempt that uses the relay; undefined before the first. */
+  instanceId: string | undefined;
+
   #handleFirstEvent: (() => void) | undefined;
 
   constructor(response: ServerResponse) {
--- a/packages/rhubarbcroft/src/gateway/createGateway.ts
+++ b/packages/rhubarbcroft/src/gateway/createGateway.ts
@@ -13,6 +13,9 @@
 import orderByHash from '../decisions/orderByHash.js';
 import computeTransferMsPerToken from '../decisions/placement/computeTransferMsPerToken.js';
 import FleetRetryBudget from '../decisions/retries/FleetRetryBudget.js';
+import StopAdmission from '../decisions/shutdown/StopAdmission.js';
+import type StopTimes from '../decisions/shutdown/StopTimes.js';
+import deriveStopTimes from '../decisions/shutdown/deriveStopTimes.js';
 import FeedReader from '../discovery/FeedReader.js';
 import deriveFeedTiming from '../discovery/deriveFeedTiming.js';
 import FollowedFeed from '../gossip/FollowedFeed.js';
@@ -26,6 +29,7 @@
 import EngineChooser from '../forwarding/EngineChooser.js';
 import type ForwardContext from '../forwarding/ForwardContext.js';
 import Forwarder from '../forwarding/Forwarder.js';
+import OpenRequests from '../forwarding/OpenRequests.js';
 import QuarantineKeeper from '../forwarding/QuarantineKeeper.js';
 import ForwardingFrontEnd from '../forwarding/ForwardingFrontEnd.js';
 import ServiceChooser from '../forwarding/ServiceChooser.js';
@@ -43,6 +47,7 @@
 import type GatewaySettings from './GatewaySettings.js';
 import type GatewaySources from './GatewaySources.js';
 import MetricsServer from './MetricsServer.js';
+import PlannedStop from './PlannedStop.js';
 import ReadinessServer from './ReadinessServer.js';
 
 interface GatewayOptions {
@@ -57,8 +62,6 @@
  * fully loaded core; a machine that is down never answers.
  */
 const CONNECT_TIMEOUT_MS = 300;
-/** How long the listener accepts after the stop signal: two probes of the balancer, a second apart, and their answers. */
-const LAME_DUCK_MS = 3_000;
 /** Limit of the HTTP parser on the request head; the limit that the operator configures is lower. */
 const LISTEN_DEFAULTS = { maxHeaderBytes: 65_536, certificates: undefined };
 const MAX_PROBE_CONNECTIONS = 64;
@@ -185,12 +188,20 @@
   );
 }
 
+/** What the callers' listener and the task of the planned stop share. */
+interface StopState {
+  readonly times: StopTimes;
+  readonly admission: StopAdmission;
+  readonly openRequests: OpenRequests;
+}
+
 /** Plans the callers' listener, with a task for each connection. */
 function planCallers(
   { settings, log, shutdown }: GatewayOptions,
   { routing }: NodeState,
   context: ForwardContext,
   keeper: QuarantineKeeper,
+  { times, admission, openRequests }: StopState,
 ): Supervisor {
   const { clock } = context;
   const supervisor = new Supervisor('callers', clock, log);
@@ -214,9 +225,12 @@
       name: 'caller-listener',
       address: settings.callerAddress,
       maxConnections: settings.maxConnections,
-      lameDuckMs: LAME_DUCK_MS,
+      lameDuckMs: times.acceptMs,
       readTimeouts: () => routing.current?.document.limits,
-      frontEnd: new ForwardingFrontEnd({ context, forwarder, random, shutdown }),
+      frontEnd: new ForwardingFrontEnd({
+        ...{ context, forwarder, random, shutdown, openRequests },
+        stopAdmission: admission,
+      }),
     }),
   );
 }
@@ -237,7 +251,15 @@
   });
   state.gossipState.setEvidence(keeper);
   notifier.setEvidence(keeper);
+  const times = deriveStopTimes(settings.shutdownGraceMs);
+  const stop = {
+    times,
+    admission: new StopAdmission(times),
+    openRequests: new OpenRequests(clock, log),
+  };
   return new Supervisor('root', clock, log).declareChildren(
+    // Stopped last, since it runs while the other children stop.
+    new PlannedStop({ ...stop, shutdown: options.shutdown, clock }),
     new Supervisor('discovery', clock, log).declareChildren(...state.readers),
     peers.declareChildren(
       new SocketListener({
@@ -270,6 +292,6 @@
       }),
     ),
     planProbes(options, state, metrics, clock),
-    planCallers(options, state, context, keeper),
+    planCallers(options, state, context, keeper, stop),
   );
 }
--- a/test/platform/standins/startGateway.ts
+++ b/test/platform/standins/startGateway.ts
@@ -24,12 +24,13 @@
 interface GatewayOptions {
   readonly storeUrl: string;
   readonly seedPeers?: readonly string[];
+  readonly shutdownGraceMs?: number;
 }
 
 const READY_TIMEOUT_MS = 5_000;
 
 export default async function startGateway(
-  { storeUrl, seedPeers = [] }: GatewayOptions,
+  { storeUrl, seedPeers = [], shutdownGraceMs = 8_000 }: GatewayOptions,
   waitsUntilReady = true,
 ): Promise<Gateway> {
   const [caller, ready, peer, metrics] = (await allocatePorts(4)).map(
@@ -53,7 +54,7 @@
       metricsAddress: metrics,
       seedPeers,
       storeUrl,
-      shutdownGraceMs: 8_000,
+      shutdownGraceMs,
       contactMs: 4_000,
       drainMs: 3_000,
       configApplyMs: 3_000,
--- a/test/soak/SoakNode.ts
+++ b/test/soak/SoakNode.ts
@@ -67,7 +67,7 @@
         '[zones]\na = "ra"',
         `[listen]\nfront = "${ip}:${callerPort}"\nready = "${ip}:${readyPort}"`,
         '[limits]\nmaxFds = 4100',
-        '[bounds]\ngraceS = 8\nretryBudgetRatio = 0.02\nbudgetWindowS = 10\nretryBudgetExtra = 6',
+        '[bounds]\ncontactMs = 4000\ndrainMs = 3000\ngraceS = 8\nconfigApplyMs = 3000\nretryBudgetRatio = 0.02\nbudgetWindowS = 10\nretryBudgetExtra = 6',
         `[platform]\naddress = "127.0.0.1:${storeRelay.port}"`,
       ].join('\n'),
     );
