Remove the listener of a wait that was notified

What operators would see: the memory of a node grows with each batch of notices to its peers; Node.js warns of a possible leak after 11 batches.

Cause: Wakeup.wait added a listener to the signal of the task's whole life and removed it only if the signal aborted.

Change: the notification removes it too.

Evidence: test/supervision/wakeup.test.ts, 20 waits: 20 listeners were left on, none now. The warning was seen in the output of test/silence.

--- a/packages/rhubarbcroft/src/supervision/Wakeup.ts
+++ b/packages/rhubarbcroft/src/supervision/Wakeup.ts
@@ -13,8 +13,12 @@
   async wait(signal: AbortSignal): Promise<void> {
     if (!this.#pending && !signal.aborted) {
       await new Promise<void>((resolve) => {
-        this.#wake = resolve;
-        signal.addEventListener('abort', () => resolve(), { once: true });
+        const wake = (): void => {
+          signal.removeEventListener('abort', wake);
+          resolve();
+        };
+        this.#wake = wake;
+        signal.addEventListener('abort', wake, { once: true });
       });
     }
     this.#pending = false;
