Keep an internal error of a following attempt from ending the process

What callers would see: an unexpected error in an attempt that begins beside a silent one had no handler; Node.js ends the process then, with all requests.

Change: the error is logged where it occurs; for the silent attempt the other one has failed, and it goes on. Whoever leads still handles the error itself.

--- a/packages/rhubarbcroft/src/forwarding/AttemptRun.ts
+++ b/packages/rhubarbcroft/src/forwarding/AttemptRun.ts
@@ -41,7 +41,12 @@
       accept = () => resolve(true);
     });
     this.result = run({ accept, turn }, this.#cancelled.signal);
-    this.accepted = Promise.race([acceptance, this.result.then(() => false)]);
+    const ended = this.result.then(
+      () => false,
+      // Whoever awaits the result handles its error.
+      () => false,
+    );
+    this.accepted = Promise.race([acceptance, ended]);
   }
 
   /** Whether this is the attempt whose answer is relayed. */
--- a/packages/rhubarbcroft/src/forwarding/Forwarder.ts
+++ b/packages/rhubarbcroft/src/forwarding/Forwarder.ts
@@ -172,7 +172,11 @@
           // An attempt that does not lead yet is handed over by nobody.
           handOver: async (silence) => run.isLeading && handOver.start(silence),
         });
-        const result = await attempt.run(signal);
+        const result = await attempt.run(signal).catch((error: Error) => {
+          const { id: requestId } = request;
+          this.#options.context.log.error({ requestId, err: error }, 'attempt failed internally');
+          throw error;
+        });
         screen.recordResult(placement.target, result, signal.aborted);
         logAttempt(this.#options.context, request, placement, result, progress.sends + 1);
         return result;
--- a/packages/rhubarbcroft/src/forwarding/HandOver.ts
+++ b/packages/rhubarbcroft/src/forwarding/HandOver.ts
@@ -61,10 +61,11 @@
 
   async #awaitEnd(standby: AttemptRun): Promise<void> {
     const { placement } = standby;
-    const result = await standby.result;
+    // An internal error was logged where it occurred; the silent attempt goes on.
+    const result = await standby.result.catch(() => undefined);
     if (this.#standby === standby) {
       this.#standby = undefined;
-      this.#ended = [...this.#ended, { placement, result }];
+      this.#ended = result === undefined ? this.#ended : [...this.#ended, { placement, result }];
     }
   }
 }
--- a/test/silence/handOver.test.ts
+++ b/test/silence/handOver.test.ts
@@ -4,6 +4,8 @@
  */
 import { expect } from 'chai';
 import type Arrival from '../platform/standins/Arrival.js';
+import AttemptRun from 'rhubarbcroft/forwarding/AttemptRun';
+import HandOver from 'rhubarbcroft/forwarding/HandOver';
 import PlatformFixture from '../platform/standins/PlatformFixture.js';
 import ReplicaStandin from '../platform/standins/ReplicaStandin.js';
 import createConfiguration from '../platform/standins/createConfiguration.js';
@@ -89,4 +91,24 @@
     }
     expect(Object.fromEntries(outcomes)).toMatchSnapshot();
   }).timeout(60_000);
+
+  it('leaves the silent attempt alone when the one that is to follow fails internally', async () => {
+    const idle = new HandOver({ secure: () => undefined, begin: () => expect.fail('not begun') });
+    const handOver = new HandOver({
+      secure: () => ({}) as never,
+      begin: (placement) =>
+        new AttemptRun({
+          placement,
+          handOver: idle,
+          run: () => Promise.reject(new Error('a fault of the program')),
+        }),
+    });
+    const isHandedOver = await handOver.start(new AbortController().signal);
+    await sleep(10);
+    expect([isHandedOver, handOver.take(), handOver.ended.length]).to.deep.equal([
+      false,
+      undefined,
+      0,
+    ]);
+  });
 });
