Serve no request behind an answer that announced the close

What callers saw: in a planned stop, a request that was sent together with an earlier one on its connection was passed on and got no answer, also one that may run only once.

Cause: the answer to the first request announced the close although another was queued; the connection ended behind it, and its task went on to serve the queue.

Change: an answer announces the close only if nothing is queued behind it, and after one that did the task of the connection ends.

--- a/bench/removals/gatewayRemovals.ts
+++ b/bench/removals/gatewayRemovals.ts
@@ -2,6 +2,20 @@
 import type Removal from './Removal.js';
 
 const gatewayRemovals: readonly Removal[] = [
+  {
+    mechanism: 'no announced close before a queued request is answered',
+    file: 'callers/HttpConnection.ts',
+    from: 'if (!response.headersSent && this.#exchanges.length === 0) {',
+    to: 'if (!response.headersSent) {',
+    test: 'answers all requests that were sent together before the stop',
+  },
+  {
+    mechanism: 'nothing served behind an announced close',
+    file: 'callers/HttpConnection.ts',
+    from: 'exchange.response.shouldKeepAlive ? await',
+    to: 'this.#requestCount > 0 ? await',
+    test: 'serves no request that arrived behind an answer that announced the close',
+  },
   {
     mechanism: 'refusing what can not end before a planned stop does',
     file: 'decisions/shutdown/StopAdmission.ts',
--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -96,9 +96,16 @@
       this.noteEnd('answer_cut', cause);
       response.destroy();
     };
+    const announceClose = (): void => {
+      if (!response.headersSent && this.#exchanges.length === 0) {
+        response.setHeader('connection', 'close');
+      }
+    };
     const { signal } = disconnected;
     if (!this.#socket.writableEnded) {
-      this.#exchanges.push({ request, response, requestId, signal, markForwarded, cut });
+      this.#exchanges.push({
+        ...{ request, response, requestId, signal, markForwarded, announceClose, cut },
+      });
       this.#wake?.();
     }
   }
@@ -150,7 +157,8 @@
     let exchange = await this.#receive(signal);
     while (exchange !== undefined) {
       await this.#serve(exchange, signal);
-      exchange = await this.#receive(signal);
+      // What is queued behind an answer that announced the close would run without being answered.
+      exchange = exchange.response.shouldKeepAlive ? await this.#receive(signal) : undefined;
     }
   }
 
@@ -223,12 +231,7 @@
   }
 
   async #serve(exchange: HttpExchange, signal: AbortSignal): Promise<void> {
-    const { response } = exchange;
-    const announceClose = (): void => {
-      if (!response.headersSent) {
-        response.setHeader('connection', 'close');
-      }
-    };
+    const { response, announceClose } = exchange;
     if (signal.aborted) {
       announceClose();
     }
--- a/packages/rhubarbcroft/src/callers/HttpExchange.ts
+++ b/packages/rhubarbcroft/src/callers/HttpExchange.ts
@@ -9,6 +9,11 @@
   readonly signal: AbortSignal;
   /** Notes that the complete request was accepted for forwarding, for the log line of an early end. */
   readonly markForwarded: () => void;
+  /**
+   * Announces with this answer that the connection closes, unless a further request is queued on it: that one has to be
+   * answered first.
+   */
+  readonly announceClose: () => void;
   /** Destroys the connection of a response that cannot be finished; the cause appears in the log line. */
   readonly cut: (cause: string) => void;
 }
--- a/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
+++ b/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
@@ -2,7 +2,7 @@
  * Serves callers' requests: reads the request completely, matches it to a route of the current routing
  * document, forwards it within the caller's deadline, and sends the answer or the failure.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import { err, ok } from 'true-myth/result';
@@ -110,7 +110,7 @@
       request.expiresAtMs - context.clock.nowMs(),
     );
     signal.addEventListener('abort', cancel, { once: true });
-    this.#closeAfterResponse(response);
+    this.#closeAfterResponse(exchange);
     exchange.markForwarded();
     const served = await forwarder.forward(request, relay, controller.signal);
     close();
@@ -244,10 +244,9 @@
     metrics.timing('request', clock.nowMs() - arrivedAtMs, tags);
   }
 
-  #closeAfterResponse(response: ServerResponse): void {
-    const { shutdown } = this.#options;
-    if (shutdown.aborted && !response.headersSent) {
-      response.setHeader('connection', 'close');
+  #closeAfterResponse(exchange: HttpExchange): void {
+    if (this.#options.shutdown.aborted) {
+      exchange.announceClose();
     }
   }
 
@@ -259,7 +258,7 @@
       this.#refuse(exchange, failure, request.arrivedAtMs);
       return;
     }
-    this.#closeAfterResponse(response);
+    this.#closeAfterResponse(exchange);
     response.writeHead(answer.status, [
       ...copyAnswerHeaders(answer.rawHeaders),
       'content-length',
@@ -269,12 +268,13 @@
   }
 
   #refuse(
-    { request, response, requestId, cut }: HttpExchange,
+    exchange: HttpExchange,
     failure: Failure,
     arrivedAtMs: number,
     relay?: StreamRelay,
   ): void {
     const { log, clock, metrics } = this.#options.context;
+    const { request, response, requestId, cut } = exchange;
     const { code, detail, ran, retryAfterMs } = failure;
     const waitedMs = Math.round(clock.nowMs() - arrivedAtMs);
     metrics.increment('refused', { code, ran });
@@ -283,7 +283,7 @@
       cut(code);
       return;
     }
-    this.#closeAfterResponse(response);
+    this.#closeAfterResponse(exchange);
     if (!request.complete) {
       response.setHeader('connection', 'close');
     }
--- a/test/listener/plannedStop.test.ts
+++ b/test/listener/plannedStop.test.ts
@@ -18,8 +18,12 @@
 
 const REQUEST = 'GET /price HTTP/1.1\r\nhost: shop\r\n\r\n';
 
+/** The paths of the requests that were begun. */
+const served: string[] = [];
+
 class EchoServer extends HttpExchangeServer {
   override async serve({ request, response }: HttpExchange): Promise<void> {
+    served.push(request.url ?? '');
     request.resume();
     await sleep(20);
     response.end(request.url);
@@ -120,6 +124,28 @@
     await done;
   });
 
+  it('answers all requests that were sent together before the stop, and announces the close with the last', async () => {
+    const socket = await open();
+    socket.write([1, 2, 3].map((at) => REQUEST.replace('/price', `/price/${at}`)).join(''));
+    await sleep(10);
+    stop.abort();
+    const text = await readToEnd(socket);
+    expect(text.match(/HTTP.*|Connection: .*|price.\d$/gim)).toMatchSnapshot();
+    await done;
+  });
+
+  it('serves no request that arrived behind an answer that announced the close', async () => {
+    const socket = await open();
+    socket.write(REQUEST);
+    await sleep(10);
+    stop.abort();
+    socket.write(REQUEST.replace('/price', '/late'));
+    const text = await readToEnd(socket);
+    const isLateServed = served.includes('/late');
+    expect(isLateServed).to.equal(text.includes('/late'));
+    await done;
+  });
+
   it('closes an idle connection without delay', async () => {
     const socket = await open();
     socket.write(REQUEST);
