--- a/test/discovery/announcedLeaving.test.ts
+++ b/test/discovery/announcedLeaving.test.ts
@@ -10,19 +10,9 @@
 import PlatformFixture from '../platform/standins/PlatformFixture.js';
 import ReplicaStandin from '../platform/standins/ReplicaStandin.js';
 import ManualClock from '../support/ManualClock.js';
+import createInstance from '../support/createInstance.js';
 
-const RUN: Instance = {
-  id: 'a',
-  service: 's',
-  address: '127.0.0.1:1',
-  domain: 'a',
-  slots: 4,
-  isLeaving: false,
-  stage: undefined,
-  coldRemainingMs: 0,
-  startedAtMs: 1_000,
-  sequence: 7,
-};
+const RUN = createInstance({ id: 'a', sequence: 7 });
 
 describe('an instance that announces in an answer that it leaves', () => {
   it('gets no request for the rest of its run, whatever its entry says, and a new run does', () => {
--- a/test/discovery/discovery.test.ts
+++ b/test/discovery/discovery.test.ts
@@ -16,24 +16,13 @@
 import CurrentRouting from 'rhubarbcroft/routes/CurrentRouting';
 import RoutingTable from 'rhubarbcroft/routes/RoutingTable';
 import ManualClock from '../support/ManualClock.js';
+import createInstance from '../support/createInstance.js';
 
 const log = bunyan.createLogger({ name: 'test', streams: [] });
 const timing = deriveFeedTiming({ contactMs: 4_000, drainMs: 3_000, configApplyMs: 3_000 });
 
 function instance(id: string, options: Partial<Instance> = {}): Instance {
-  return {
-    id,
-    service: 's',
-    address: '127.0.0.1:1',
-    domain: 'a',
-    slots: 4,
-    isLeaving: false,
-    stage: undefined,
-    coldRemainingMs: 0,
-    startedAtMs: 1_000,
-    sequence: 1,
-    ...options,
-  };
+  return createInstance({ id, ...options });
 }
 
 function page(version: number, ...instances: readonly Instance[]): FeedPage<Instance> {
