--- a/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
+++ b/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
@@ -112,10 +112,11 @@
     signal.addEventListener('abort', cancel, { once: true });
     this.#closeAfterResponse(exchange);
     exchange.markForwarded();
-    const served = await forwarder.forward(request, relay, controller.signal);
-    close();
-    clearTimeout(timer);
-    signal.removeEventListener('abort', cancel);
+    const served = await forwarder.forward(request, relay, controller.signal).finally(() => {
+      close();
+      clearTimeout(timer);
+      signal.removeEventListener('abort', cancel);
+    });
     if (signal.aborted) {
       this.#countRequest(request, 'left');
       context.log.info({ requestId: request.id }, 'request cancelled: the caller disconnected');
