--- a/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
+++ b/packages/rhubarbcroft/src/forwarding/ForwardingFrontEnd.ts
@@ -94,10 +94,7 @@
     const close = this.#options.openRequests.add({
       id: request.id,
       arrivedAtMs: request.arrivedAtMs,
-      describe: () => ({
-        phase: relay.hasBegun ? 'streaming' : 'waiting',
-        instance: relay.instanceId,
-      }),
+      describe: () => relay.dumpState(),
       end: (reason) => {
         if (!relay.hasBegun) {
           controller.abort(new Error(reason));
--- a/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
+++ b/packages/rhubarbcroft/src/forwarding/StreamRelay.ts
@@ -111,6 +111,11 @@
     ]).finally(() => settled.abort());
   }
 
+  /** What the request waits for, and where, for the log of open requests. */
+  dumpState(): { readonly phase: string; readonly instance: string | undefined } {
+    return { phase: this.hasBegun ? 'streaming' : 'waiting', instance: this.instanceId };
+  }
+
   end(): void {
     this.#response.end();
   }
