Recognise every answer that announced the close of its connection

What callers saw: a request that arrived between the head and the end of an answer with Connection: close was still passed on and never answered.

Cause: asked shouldKeepAlive, which Node.js leaves true when the header is set explicitly. Its test did not play this order; removing the mechanism by hand showed that it was not guarded.

Change: the header itself is asked too. The test sends a request behind the head of a slow answer. The removal of the answers at the end of a stop names PlannedStop, and test/platform/lateInGrace.test.ts has a request from before the stop, since the time limit of later ones hid that removal.

--- a/bench/removals/gatewayRemovals.ts
+++ b/bench/removals/gatewayRemovals.ts
@@ -12,8 +12,8 @@
   {
     mechanism: 'nothing served behind an announced close',
     file: 'callers/HttpConnection.ts',
-    from: 'exchange.response.shouldKeepAlive ? await',
-    to: 'this.#requestCount > 0 ? await',
+    from: 'isLast(exchange.response) ? undefined',
+    to: 'isLast(exchange.response) && signal === undefined ? undefined',
     test: 'serves no request that arrived behind an answer that announced the close',
   },
   {
@@ -25,9 +25,9 @@
   },
   {
     mechanism: 'answers to the requests that are open when a planned stop ends',
-    file: 'forwarding/ForwardingFrontEnd.ts',
-    from: 'Math.min(expiresAtMs, stopAdmission.endsAtMs)',
-    to: 'Math.max(expiresAtMs, 0)',
+    file: 'gateway/PlannedStop.ts',
+    from: 'openRequests.endAll(',
+    to: 'openRequests.logAll(',
     test: 'is refused as not run if it may last longer',
   },
   {
@@ -68,8 +68,8 @@
   {
     mechanism: 'waits for changes that end before the node counts as in contact',
     file: 'discovery/FeedReader.ts',
-    from: 'Math.max(MIN_HOLD_MS, detectMs - answerMs - elapsedMs)',
-    to: 'Math.max(5_000, detectMs - answerMs - elapsedMs)',
+    from: 'detectMs - answerMs - elapsedMs));',
+    to: '5_000 - 0 * (detectMs - answerMs - elapsedMs)));',
     test: 'leave no node in contact without the changes that it missed',
   },
   {
--- a/packages/rhubarbcroft/src/callers/HttpConnection.ts
+++ b/packages/rhubarbcroft/src/callers/HttpConnection.ts
@@ -40,6 +40,11 @@
 /** How long a closing connection waits for the caller's own close before it is destroyed. */
 const LINGER_MS = 1_000;
 
+/** Whether an answer announced that its connection closes, for this node or at the caller's wish. */
+function isLast(response: ServerResponse): boolean {
+  return !response.shouldKeepAlive || response.getHeader('connection') === 'close';
+}
+
 export default class HttpConnection extends Task {
   override readonly name = 'http-connection';
 
@@ -158,7 +163,7 @@
     while (exchange !== undefined) {
       await this.#serve(exchange, signal);
       // What is queued behind an answer that announced the close would run without being answered.
-      exchange = exchange.response.shouldKeepAlive ? await this.#receive(signal) : undefined;
+      exchange = isLast(exchange.response) ? undefined : await this.#receive(signal);
     }
   }
 
--- a/test/listener/plannedStop.test.ts
+++ b/test/listener/plannedStop.test.ts
@@ -26,6 +26,10 @@
     served.push(request.url ?? '');
     request.resume();
     await sleep(20);
+    if (request.url === '/slow') {
+      response.flushHeaders();
+      await sleep(100);
+    }
     response.end(request.url);
   }
 }
@@ -136,13 +140,12 @@
 
   it('serves no request that arrived behind an answer that announced the close', async () => {
     const socket = await open();
-    socket.write(REQUEST);
-    await sleep(10);
+    socket.write(REQUEST.replace('/price', '/slow'));
     stop.abort();
+    await once(socket, 'data');
     socket.write(REQUEST.replace('/price', '/late'));
-    const text = await readToEnd(socket);
-    const isLateServed = served.includes('/late');
-    expect(isLateServed).to.equal(text.includes('/late'));
+    await readToEnd(socket);
+    expect([served.includes('/slow'), served.includes('/late')]).to.deep.equal([true, false]);
     await done;
   });
 
--- a/test/platform/lateInGrace.test.ts
+++ b/test/platform/lateInGrace.test.ts
@@ -11,6 +11,7 @@
 import ReplicaStandin from './standins/ReplicaStandin.js';
 import StoreStandin from './standins/StoreStandin.js';
 import createConfiguration from './standins/createConfiguration.js';
+import createRoute from './standins/createRoute.js';
 import startGateway from './standins/startGateway.js';
 import sleep from '../support/sleep.js';
 
@@ -26,7 +27,8 @@
 
   before(async () => {
     await Promise.all([store.start(), ledger.start(), engine.start()]);
-    const configuration = createConfiguration(1, [], { timeoutMs: ROUTE_TIMEOUT_MS });
+    const hang = createRoute('/hang/', 'ledger', { kind: 'non_idempotent', timeoutMs: 9_000 });
+    const configuration = createConfiguration(1, [hang], { timeoutMs: ROUTE_TIMEOUT_MS });
     store.put('op', 'config', configuration);
     [ledger, engine].forEach((replica) => store.put('servers', replica.id, replica.createEntry()));
     gateway = await startGateway({ storeUrl: store.url, shutdownGraceMs: GRACE_MS });
@@ -43,9 +45,9 @@
   }
 
   /** Sends a booking; returns the status of its answer, and whether it reached the replica. */
-  async function book(socket: Socket, id: string): Promise<string> {
+  async function book(socket: Socket, id: string, path = '/book/1'): Promise<string> {
     socket.write(
-      `POST /book/1 HTTP/1.1\r\nhost: shop.example\r\nx-request-id: ${id}\r\ncontent-length: 1\r\n\r\nx`,
+      `POST ${path} HTTP/1.1\r\nhost: shop.example\r\nx-request-id: ${id}\r\ncontent-length: 1\r\n\r\nx`,
     );
     const answer = (await Promise.race([once(socket, 'data'), once(socket, 'close')])) as [
       Buffer | boolean,
@@ -56,9 +58,11 @@
   }
 
   it('is refused as not run if it may last longer, and otherwise gets an answer before the exit', async () => {
-    const sockets = await Promise.all([open(), open(), open(), open()]);
+    const sockets = await Promise.all([1, 2, 3, 4, 5].map(open));
     expect(await book(sockets[3], 'usual-01')).to.equal('200, passed on');
     ledger.behaviour = () => undefined;
+    const beforeStop = book(sockets[4], 'before-1', '/hang/1');
+    await sleep(50);
     const stopped = gateway.stop();
     const startedAtMs = performance.now();
     const early = book(sockets[0], 'early-01');
@@ -66,10 +70,16 @@
     const later = book(sockets[1], 'later-01');
     await sleep(1_300);
     const late = book(sockets[2], 'late-001');
-    const outcomes = { early: await early, later: await later, late: await late };
+    const outcomes = {
+      before: await beforeStop,
+      early: await early,
+      later: await later,
+      late: await late,
+    };
     const tookMs = performance.now() - startedAtMs;
     await stopped;
     expect(outcomes).to.deep.equal({
+      before: '504, passed on',
       early: '504, passed on',
       later: '504, passed on',
       late: '503',
