Complete a hand-over whose silent endpoint is found unreachable meanwhile

What callers would see: while an attempt is being handed over, another request finds its endpoint unreachable; the hand-over was then ignored, both endpoints stayed at work, and the answer of the second was never read.

Change: a pending hand-over is left alone; its result decides.

Evidence: a new case in test/silence/falseSilence.test.ts failed before and passes.

--- a/packages/rhubarbcroft/src/forwarding/ProgressWatchdog.ts
+++ b/packages/rhubarbcroft/src/forwarding/ProgressWatchdog.ts
@@ -29,15 +29,15 @@
 
   #timer: NodeJS.Timeout | undefined;
 
-  /** Aborts when progress is made while another attempt is started. */
-  #progress = new AbortController();
+  /** Aborts when progress is made while another attempt is started; undefined when none is being started. */
+  #progress: AbortController | undefined;
 
   #wasSilent = false;
 
   readonly #handleOuterAbort = (): void => this.#controller.abort(this.#options.request.reason);
 
   readonly #handleLost = (): void => {
-    if (this.#timer !== undefined) {
+    if (this.#timer !== undefined && this.#progress === undefined) {
       this.#stopTimer();
       this.#startTimer(LOST_GRACE_MS, (this.#options.lost?.reason as Error).message);
     }
@@ -65,7 +65,8 @@
   /** Restarts the timer: progress is expected within this time, in milliseconds; undefined sets no limit. */
   expect(withinMs: number | undefined): void {
     this.#stopTimer();
-    this.#progress.abort();
+    this.#progress?.abort();
+    this.#progress = undefined;
     if (withinMs !== undefined) {
       this.#startTimer(withinMs, `no data was received for ${Math.round(withinMs)} ms`);
     }
@@ -102,6 +103,7 @@
     if (this.#timer !== timer || this.signal.aborted) {
       return;
     }
+    this.#progress = undefined;
     if (isHandedOver) {
       this.#wasSilent = true;
       this.#controller.abort(new Error(reason));
--- a/test/silence/falseSilence.test.ts
+++ b/test/silence/falseSilence.test.ts
@@ -114,4 +114,22 @@
     );
     expect(outcomes).toMatchSnapshot();
   });
+
+  it('gives an attempt up once another has taken over, also if its endpoint is found unreachable meanwhile', async () => {
+    const lost = new AbortController();
+    const watchdog = new ProgressWatchdog({
+      request: new AbortController().signal,
+      lost: lost.signal,
+      handOver: async () => {
+        await sleep(100);
+        return true;
+      },
+    });
+    watchdog.expect(50);
+    await sleep(100);
+    lost.abort(new Error('connection failed'));
+    await sleep(100);
+    watchdog.close();
+    expect(watchdog.wasSilent).to.equal(true);
+  });
 });
