Repeat the most important crash report whatever its size

What operators would see: a node that was cut off, or has just started, does not learn what is held if the crash that led to the verdict had many suspects.

Cause: limited repeated reports to 64 requests in all and dropped a report that exceeds this by itself, with all that followed (found by reading).

Change: reports are repeated until the limit is reached, the first in any case.

Evidence: a new case in test/poison/wholeRequest.test.ts; it passes.

--- a/packages/rhubarbcroft/src/forwarding/QuarantineKeeper.ts
+++ b/packages/rhubarbcroft/src/forwarding/QuarantineKeeper.ts
@@ -93,9 +93,11 @@
   override listReports(): readonly CrashReport[] {
     const reports = this.#quarantine.listOpenReports().slice(0, MAX_REPEATED_REPORTS);
     let prompts = 0;
+    // The most important report is repeated whatever its size.
     return reports.filter((report) => {
+      const hasRoom = prompts < MAX_REPEATED_PROMPTS;
       prompts += report.prompts.length;
-      return prompts <= MAX_REPEATED_PROMPTS;
+      return hasRoom;
     });
   }
 
--- a/test/poison/wholeRequest.test.ts
+++ b/test/poison/wholeRequest.test.ts
@@ -4,12 +4,16 @@
  */
 import { expect } from 'chai';
 import { request as sendRequest } from 'undici';
+import type CrashReport from 'rhubarbcroft/decisions/poison/CrashReport';
+import QuarantineKeeper from 'rhubarbcroft/forwarding/QuarantineKeeper';
 import createRequestKey from 'rhubarbcroft/forwarding/createRequestKey';
 import type Arrival from '../platform/standins/Arrival.js';
 import ReplicaStandin from '../platform/standins/ReplicaStandin.js';
 import StoreStandin from '../platform/standins/StoreStandin.js';
 import createConfiguration from '../platform/standins/createConfiguration.js';
 import startGateway from '../platform/standins/startGateway.js';
+import ManualClock from '../support/ManualClock.js';
+import createForwardContext from '../support/createForwardContext.js';
 import createForwardRequest from '../support/createForwardRequest.js';
 import sleep from '../support/sleep.js';
 
@@ -109,4 +113,29 @@
     ].map((change) => createRequestKey(createForwardRequest(change)) === key);
     expect(changed).to.deep.equal([false, false, false, false, false, true]);
   });
+
+  it('is repeated to the peers within limits, beginning with the crash that led to a verdict, whatever its size', () => {
+    const keeper = new QuarantineKeeper(createForwardContext(new ManualClock()), {
+      countNodesAhead: () => 0,
+      isRefused: async () => true,
+    });
+    const createReport = (run: string, count: number): CrashReport => ({
+      run,
+      atMs: 1,
+      prompts: Array.from({ length: count }, (_unused, at) => [`request:${run}-${at}`]),
+      provenBefore: [],
+      cleared: [],
+    });
+    keeper.merge(
+      ['small-1', 'small-2', 'small-3'].map((run) => createReport(run, 40)),
+      [],
+    );
+    const small = keeper.listReports().length;
+    const large = [createReport('large-1', 200), createReport('large-2', 200)].map((report) => ({
+      ...report,
+      prompts: [...report.prompts, ['request:deadly']],
+    }));
+    keeper.merge(large, []);
+    expect([small, keeper.listReports().map(({ run }) => run)]).to.deep.equal([2, ['large-1']]);
+  });
 });
