--- a/review/common-2/fleet.cjs
+++ b/review/common-2/fleet.cjs
@@ -6,6 +6,7 @@
 const { spawn } = require('node:child_process');
 const fs = require('node:fs');
 const http = require('node:http');
+const net = require('node:net');
 const os = require('node:os');
 const path = require('node:path');
 
@@ -18,6 +19,39 @@
     setTimeout(resolve, ms);
   });
 
+/** Listens on a free port of the host. Resolves with the address. */
+function listen(server, host) {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(0, host, () => resolve(`${host}:${server.address().port}`));
+  });
+}
+
+function isFree(port, host) {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
+  });
+}
+
+/** Finds ports that are free on all hosts, since ports are the same on all machines. */
+async function findFreePorts(hosts, count) {
+  const ports = [];
+  while (ports.length < count) {
+    const probe = net.createServer();
+    const port = Number((await listen(probe, hosts[0])).split(':')[1]);
+    await new Promise((resolve) => {
+      probe.close(resolve);
+    });
+    const areFree = await Promise.all(hosts.map((host) => isFree(port, host)));
+    if (areFree.every(Boolean) && !ports.includes(port)) {
+      ports.push(port);
+    }
+  }
+  return ports;
+}
+
 function readBody(request) {
   return new Promise((resolve, reject) => {
     const chunks = [];
@@ -29,8 +63,8 @@
 
 /** The platform's store: rows with versions, a feed of changes, conditional transactions. */
 class Store {
-  constructor(address) {
-    this.address = address;
+  constructor(host) {
+    this.host = host;
     this.rows = new Map();
     this.version = 100;
     this.waiting = new Set();
@@ -44,10 +78,7 @@
       this.handle(request, response).catch(() => response.destroy());
     });
     this.server.keepAliveTimeout = 60_000;
-    const [host, port] = this.address.split(':');
-    await new Promise((resolve) => {
-      this.server.listen(Number(port), host, resolve);
-    });
+    this.address = await listen(this.server, this.host);
   }
 
   put(table, part, key, text) {
@@ -150,8 +181,8 @@
 
 /** A replica: registers itself in the store, and gives each request to the handler of the case. */
 class Replica {
-  constructor({ store, id, service, address, zone, slots, stage, handle }) {
-    Object.assign(this, { store, id, service, address, zone, slots, stage, handle });
+  constructor({ store, id, service, host, zone, slots, stage, handle }) {
+    Object.assign(this, { store, id, service, host, zone, slots, stage, handle });
     this.state = 'ready';
     this.sequence = 0;
     this.born = Date.now();
@@ -172,10 +203,7 @@
       }
       this.handle(request, response, this);
     });
-    const [host, port] = this.address.split(':');
-    await new Promise((resolve) => {
-      this.server.listen(Number(port), host, resolve);
-    });
+    this.address = await listen(this.server, this.host);
     this.beat();
     this.timer = setInterval(() => this.beat(), HEARTBEAT_MS);
   }
@@ -205,16 +233,16 @@
 
 /** One process of the deploy file's role, on an address of its own. */
 class Gateway {
-  constructor({ name, ip, zone, storeAddress, folder, seeds, limits = {} }) {
-    Object.assign(this, { name, ip, zone, storeAddress, folder, seeds, limits });
-    this.front = `${ip}:8149`;
+  constructor({ name, ip, zone, storeAddress, folder, seeds, ports, limits = {} }) {
+    Object.assign(this, { name, ip, zone, storeAddress, folder, seeds, ports, limits });
     this.log = path.join(folder, `${name}.log`);
     this.exits = [];
   }
 
   writeSettings() {
     const { memoryMb = 350, maxFds = 4100 } = this.limits;
-    const seeds = this.seeds.map((ip) => `"${ip}:8144"`).join(',');
+    const { front, ready, control, peers } = this.ports;
+    const seeds = this.seeds.map((ip) => `"${ip}:${control}"`).join(',');
     const text = `nodeName = "${this.name}"
 role = "gateway"
 machineClass = "front"
@@ -222,7 +250,7 @@
 ip = "${this.ip}"
 zone = "${this.zone}"
 region = "litoral"
-internalPorts = [7380,7395]
+internalPorts = [${peers},${peers}]
 seeds = [${seeds}]
 bootstrap = true
 countsForTolerance = false
@@ -235,9 +263,9 @@
 cordoba-sur = "centro"
 mendoza-este = "cuyo"
 [listen]
-front = "${this.ip}:8149"
-ready = "${this.ip}:8141"
-control = "${this.ip}:8144"
+front = "${this.ip}:${front}"
+ready = "${this.ip}:${ready}"
+control = "${this.ip}:${control}"
 [limits]
 cpuShare = 0.675
 cores = 1
@@ -310,7 +338,8 @@
 
   isReady() {
     return new Promise((resolve) => {
-      const request = http.get(`http://${this.ip}:8141/api/ready`, { agent: false }, (response) => {
+      const url = `http://${this.ip}:${this.ports.ready}/api/ready`;
+      const request = http.get(url, { agent: false }, (response) => {
         response.resume();
         resolve(response.statusCode === 200);
       });
@@ -434,6 +463,6 @@
 }
 
 module.exports = {
-  ...{ Store, Replica, Gateway, writeConfiguration, runCase, readBody, sleep },
+  ...{ Store, Replica, Gateway, writeConfiguration, runCase, findFreePorts, sleep },
   ...{ HOST, LIMITS, ROUTES, SERVICES },
 };
--- a/review/common-2/processes.cjs
+++ b/review/common-2/processes.cjs
@@ -2,13 +2,13 @@
  * The machines of a case: each runs the program of the deploy file, and starts it again a second after it has ended, as
  * the platform does. Notes each process that ended by itself. No case here signals a process before the end.
  */
-const { Gateway, sleep } = require('./fleet.cjs');
+const { Gateway, findFreePorts, sleep } = require('./fleet.cjs');
 
 const RESTART_DELAY_MS = 1000;
 
 class Machine {
-  constructor({ name, ip, zone, storeAddress, folder, seeds, note }) {
-    this.options = { ip, zone, storeAddress, folder, seeds };
+  constructor({ name, ip, zone, storeAddress, folder, seeds, ports, note }) {
+    this.options = { ip, zone, storeAddress, folder, seeds, ports };
     this.name = name;
     this.note = note;
     this.ownEnds = 0;
@@ -20,6 +20,11 @@
     return this.options.ip;
   }
 
+  /** The port for callers. */
+  get port() {
+    return this.options.ports.front;
+  }
+
   get isUp() {
     return this.gateway !== undefined && this.gateway.exits.length === 0;
   }
@@ -62,11 +67,13 @@
 /** Starts the store's and the machines' part of a small deployment of two machines or more. */
 async function startMachines({ count, storeAddress, folder, note, defer, subnet }) {
   const ips = Array.from({ length: count }, (_unused, index) => `127.0.${subnet}.${index + 1}`);
+  const [front, ready, control, peers] = await findFreePorts(ips, 4);
+  const ports = { front, ready, control, peers };
   const machines = ips.map(
     (ip, index) =>
       new Machine({
         ...{ name: `front-rosario-norte-${index + 1}`, ip, zone: 'rosario-norte' },
-        ...{ storeAddress, folder, note, seeds: ips.slice(0, 3) },
+        ...{ storeAddress, folder, note, ports, seeds: ips.slice(0, 3) },
       }),
   );
   machines.forEach((machine) => defer(() => machine.gateway && machine.stop()));
